--- /dev/null
+++ b/src/api/intake.ts
@@ -0,0 +1,150 @@
+/**
+ * Submissions and cancellations, by conditional writes that any node may make, term or no term.
+ * Many share one transaction; one that meets a known job falls out of it and is answered by a read.
+ */
+import type { Bucket } from "../core/bucket.js";
+import type { JobSpec } from "../core/model.js";
+import { ownDependencies, written } from "../core/pipeline.js";
+import { KEY, type StoredJob } from "../core/records.js";
+import type { Store } from "../state/store.js";
+import type { Change, Condition } from "../wire/state.js";
+
+/** `known`: some key was there already, so a read tells. `unavailable`: nothing is certain. */
+export type IntakeResult = "ok" | "known" | "unavailable";
+
+interface Wish {
+  readonly conditions: Condition[];
+  readonly change: Change;
+  readonly bytes: number;
+  readonly deadline: number;
+  /** An earlier attempt may have been, or may yet be, executed. */
+  doubtful: boolean;
+  resolve(r: IntakeResult): void;
+}
+
+const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
+
+export class Intake {
+  private queue: Wish[] = [];
+  private running = false;
+
+  constructor(
+    private readonly store: Store,
+    private readonly writes: Bucket,
+    private readonly now: () => number,
+    private readonly maxOps: number,
+    private readonly maxBytes: number,
+    /** How long a wish may wait for its turn, in seconds. */
+    private readonly patienceS: number,
+  ) {}
+
+  get waiting(): number {
+    return this.queue.length;
+  }
+
+  submit(spec: JobSpec, wallMs: number): Promise<IntakeResult> {
+    const value: StoredJob = {
+      j: spec,
+      at: wallMs,
+      r: written(ownDependencies(spec.id)),
+      v: 1,
+      n: 1,
+      o: 0,
+      done: "",
+      pl: [],
+    };
+    return this.wish(
+      [
+        { key: KEY.live(spec.id), mark: 0 },
+        { key: KEY.final(spec.id), mark: 0 },
+      ],
+      { op: "put", key: KEY.live(spec.id), value },
+      JSON.stringify(value).length,
+    );
+  }
+
+  /** For a job that is known to have been accepted. */
+  cancel(id: string, wallMs: number): Promise<IntakeResult> {
+    return this.wish(
+      [
+        { key: KEY.final(id), mark: 0 },
+        { key: KEY.cancel(id), mark: 0 },
+      ],
+      { op: "put", key: KEY.cancel(id), value: { at: wallMs } },
+      100,
+    );
+  }
+
+  private wish(conditions: Condition[], change: Change, bytes: number): Promise<IntakeResult> {
+    return new Promise((resolve) => {
+      const deadline = this.now() + this.patienceS;
+      this.queue.push({ conditions, change, bytes, deadline, doubtful: false, resolve });
+      if (!this.running) void this.run();
+    });
+  }
+
+  private async run(): Promise<void> {
+    this.running = true;
+    while (this.queue.length > 0) {
+      const wait = this.writes.wait(1, this.now());
+      if (wait > 0) {
+        await sleep(Math.min(wait, this.patienceS / 4));
+        this.expire();
+        continue;
+      }
+      await this.batch();
+    }
+    this.running = false;
+  }
+
+  private expire(): void {
+    const now = this.now();
+    const late = this.queue.filter((w) => now > w.deadline);
+    if (late.length === 0) return;
+    this.queue = this.queue.filter((w) => now <= w.deadline);
+    for (const w of late) w.resolve("unavailable");
+  }
+
+  private async batch(): Promise<void> {
+    const room = Math.max(1, Math.min(this.maxOps, Math.floor(this.writes.available(this.now()))));
+    const batch: Wish[] = [];
+    const keys = new Set<string>();
+    let bytes = 0;
+    while (this.queue.length > 0 && batch.length < room) {
+      const next = this.queue[0]!;
+      // The same job twice in one transaction: the second waits and finds it known.
+      if (keys.has(next.change.key)) break;
+      if (batch.length > 0 && bytes + next.bytes + 400 > this.maxBytes) break;
+      keys.add(next.change.key);
+      bytes += next.bytes + 400;
+      batch.push(next);
+      this.queue.shift();
+    }
+    this.writes.force(batch.length, this.now());
+    const r = await this.store.txn(
+      batch.flatMap((w) => w.conditions),
+      batch.map((w) => w.change),
+    );
+    if (r.kind === "ok") {
+      for (const w of batch) w.resolve("ok");
+      return;
+    }
+    if (r.kind === "failed") {
+      const failed = new Set(r.keys);
+      const again: Wish[] = [];
+      for (const w of batch) {
+        if (w.conditions.some((c) => failed.has(c.key))) w.resolve("known");
+        else again.push(w);
+      }
+      if (again.length === batch.length) for (const w of again) w.resolve("unavailable");
+      else this.queue.unshift(...again);
+      return;
+    }
+    // Not executed, or nobody knows. Either way the same conditional write may be sent again: a
+    // copy that still arrives and one that was executed both make it fail as `known`.
+    this.queue.unshift(...batch);
+    if (r.kind === "unknown") for (const w of batch) w.doubtful = true;
+    this.expire();
+    if (this.queue.length > 0) await sleep(this.patienceS / 20);
+  }
+}
--- /dev/null
+++ b/src/api/server.ts
@@ -0,0 +1,176 @@
+/** What users, workers and the load balancer reach: HTTP by fastify, bodies in MessagePack. */
+import Fastify, { type FastifyInstance, type FastifyReply } from "fastify";
+import type { AdaptiveLimit } from "../core/limit.js";
+import type { Command, JobSpec, JobView, Report } from "../core/model.js";
+import { decode, encode } from "../wire/msgpack.js";
+import { PATH } from "../wire/names.js";
+import {
+  decodeJob,
+  decodeReport,
+  encodeCommands,
+  encodeRedirect,
+  encodeView,
+  idIsValid,
+} from "../wire/schema.js";
+import type { IntakeResult } from "./intake.js";
+
+const BODY_LIMIT = 64 * 1024;
+
+/** What the server asks of the controller it is the front of. */
+export interface Desk {
+  healthy(): boolean;
+  /** A verified read: null for a job that was never accepted, "unavailable" if nobody can tell. */
+  read(id: string): Promise<JobView | null | "unavailable">;
+  /** Can it ever run? "unknown" while the machine types are not known. */
+  judge(spec: JobSpec): "fits" | "never" | "unknown";
+  submit(spec: JobSpec): Promise<IntakeResult>;
+  cancel(id: string): Promise<IntakeResult>;
+  report(
+    r: Report,
+  ):
+    | { readonly kind: "answer"; readonly token: number; readonly commands: readonly Command[] }
+    | { readonly kind: "elsewhere"; readonly holder: string | null }
+    | { readonly kind: "unavailable" };
+}
+
+export interface ServerOptions {
+  readonly limit: AdaptiveLimit;
+  readonly now: () => number;
+  /** Seconds after which a refused client may come back. */
+  readonly retryAfterS: number;
+}
+
+export function buildServer(desk: Desk, options: ServerOptions): FastifyInstance {
+  const app = Fastify({
+    logger: false,
+    bodyLimit: BODY_LIMIT,
+    keepAliveTimeout: 120_000,
+    forceCloseConnections: true,
+    exposeHeadRoutes: false,
+  });
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
+
+  const send = (reply: FastifyReply, status: number, body: unknown): FastifyReply =>
+    reply.code(status).header("content-type", "application/msgpack").send(encode(body));
+  const refuse = (reply: FastifyReply, status: number, error: string): FastifyReply => {
+    reply.header("retry-after", String(Math.max(1, Math.ceil(options.retryAfterS))));
+    return send(reply, status, { error });
+  };
+  const unpack = (body: unknown): unknown => {
+    if (!Buffer.isBuffer(body) || body.length === 0) return undefined;
+    try {
+      return decode(body);
+    } catch {
+      return undefined;
+    }
+  };
+
+  /** Users' requests share one limit; past it they are refused at once. */
+  const limited = async (
+    reply: FastifyReply,
+    work: () => Promise<FastifyReply>,
+  ): Promise<FastifyReply> => {
+    if (!options.limit.enter()) return refuse(reply, 429, "busy");
+    const began = options.now();
+    try {
+      return await work();
+    } finally {
+      options.limit.leave(options.now() - began);
+    }
+  };
+
+  app.setErrorHandler((error: Error & { statusCode?: number }, _req, reply) => {
+    const status = error.statusCode ?? 500;
+    if (status >= 500) refuse(reply, 503, "trouble");
+    else send(reply, status === 413 ? 400 : status, { error: error.message });
+  });
+  app.setNotFoundHandler((_req, reply) => send(reply, 404, { error: "no such path" }));
+
+  app.get(PATH.health, (_req, reply) =>
+    desk.healthy() ? send(reply, 200, { ok: true }) : send(reply, 503, { ok: false }),
+  );
+
+  app.post(PATH.jobs, (req, reply) =>
+    limited(reply, async () => {
+      const body = unpack(req.body);
+      const spec = decodeJob(body);
+      if (spec === null) {
+        // A retry of an accepted job is answered with its state, whatever its body says.
+        const id = (body as { nameId?: unknown } | null | undefined)?.nameId;
+        if (typeof id === "string" && idIsValid(id)) {
+          const known = await desk.read(id);
+          if (known === "unavailable") return refuse(reply, 503, "unavailable");
+          if (known !== null) return send(reply, 200, encodeView(known, true));
+        }
+        return send(reply, 400, { error: "malformed" });
+      }
+      const verdict = desk.judge(spec);
+      if (verdict !== "fits") {
+        const known = await desk.read(spec.id);
+        if (known === "unavailable") return refuse(reply, 503, "unavailable");
+        if (known !== null) return send(reply, 200, encodeView(known, true));
+        if (verdict === "unknown") return refuse(reply, 503, "machine types unknown");
+        return send(reply, 422, { error: "can never run" });
+      }
+      const result = await desk.submit(spec);
+      if (result === "ok") {
+        return send(
+          reply,
+          201,
+          encodeView({ id: spec.id, state: "queued", done: 0, running: 0 }, false),
+        );
+      }
+      if (result === "known") {
+        const known = await desk.read(spec.id);
+        if (known !== null && known !== "unavailable")
+          return send(reply, 200, encodeView(known, true));
+      }
+      return refuse(reply, 503, "unavailable");
+    }),
+  );
+
+  app.get<{ Params: { id: string } }>(`${PATH.jobs}/:id`, (req, reply) =>
+    limited(reply, async () => {
+      const { id } = req.params;
+      if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
+      const known = await desk.read(id);
+      if (known === "unavailable") return refuse(reply, 503, "unavailable");
+      if (known === null) return send(reply, 404, { error: "no such job" });
+      return send(reply, 200, encodeView(known, true));
+    }),
+  );
+
+  app.post<{ Params: { id: string } }>(`${PATH.jobs}/:id/${PATH.cancel}`, (req, reply) =>
+    limited(reply, async () => {
+      const { id } = req.params;
+      if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
+      for (let i = 0; i < 2; i++) {
+        const known = await desk.read(id);
+        if (known === "unavailable") return refuse(reply, 503, "unavailable");
+        if (known === null) return send(reply, 404, { error: "no such job" });
+        if (known.state === "done" || known.state === "cancelled")
+          return send(reply, 200, encodeView(known, false));
+        const result = await desk.cancel(id);
+        if (result === "ok") {
+          return send(reply, 200, encodeView({ ...known, state: "cancelled" }, false));
+        }
+        if (result === "unavailable") return refuse(reply, 503, "unavailable");
+      }
+      return refuse(reply, 503, "unavailable");
+    }),
+  );
+
+  app.post(PATH.report, (req, reply) => {
+    const report = decodeReport(unpack(req.body));
+    if (report === null) return send(reply, 400, { error: "malformed" });
+    const answer = desk.report(report);
+    if (answer.kind === "answer") {
+      return send(reply, 200, encodeCommands(answer.token, null, answer.commands));
+    }
+    if (answer.kind === "elsewhere") return send(reply, 421, encodeRedirect(answer.holder));
+    return refuse(reply, 503, "unavailable");
+  });
+
+  return app;
+}
--- /dev/null
+++ b/src/controller.ts
@@ -0,0 +1,457 @@
+/**
+ * One controller node: the adapters around the state machines, and the loops that drive them.
+ * A program embeds it by constructing one with its settings and calling `start`.
+ */
+import type { FastifyInstance } from "fastify";
+import type { Logger } from "pino";
+import { Intake } from "./api/intake.js";
+import { buildServer, type Desk } from "./api/server.js";
+import { Cloud } from "./cloud/client.js";
+import type { Operator } from "./config/operator.js";
+import { Bucket } from "./core/bucket.js";
+import { AdaptiveLimit } from "./core/limit.js";
+import type { JobSpec, JobView, MachineType, Report } from "./core/model.js";
+import { KEY, Records, type StoredLead, type Touched } from "./core/records.js";
+import { canEverRun, type Output, Scheduler, type Write } from "./core/scheduler.js";
+import { Term } from "./core/term.js";
+import { Follower } from "./state/follower.js";
+import { Store } from "./state/store.js";
+import type { Settings } from "./wire/settings.js";
+import { Workers } from "./workers/client.js";
+
+const steady = (): number => performance.now() / 1000;
+const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
+/** A transaction's limit by the protocol, less room for the message around it. */
+const TXN_BYTES = 60 * 1024;
+
+export class Controller implements Desk {
+  private readonly records = new Records();
+  private readonly store: Store;
+  private readonly cloud: Cloud;
+  private readonly workers: Workers;
+  private readonly follower: Follower;
+  private readonly intake: Intake;
+  private readonly writes: Bucket;
+  private readonly app: FastifyInstance;
+  private types: readonly MachineType[] = [];
+  private term: Term | null = null;
+  private scheduler: Scheduler | null = null;
+  private acquiring = false;
+  private tickQueued = false;
+  private writing = false;
+  private bumpWanted = false;
+  private stopped = false;
+  private readonly graceS: number;
+  private readonly ttlS: number;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly operator: Operator,
+    private readonly log: Logger,
+  ) {
+    const c = settings.cluster;
+    this.ttlS = Math.max(0.5, operator.termLeaseRatio * c.reportS);
+    this.graceS = operator.graceRatio * c.leaseS;
+    const answerMs = (c.reportS * 1000) / 3;
+    this.store = new Store(settings.state, steady, answerMs);
+    this.cloud = new Cloud(settings.cloud, c.reportS * 1000);
+    this.workers = new Workers(answerMs);
+    // Reads that catch up and watches each take a quarter of this node's share of requests.
+    const spacing = (4 * c.nodes) / c.stateRps;
+    this.follower = new Follower(this.store, this.records, steady, spacing, answerMs, (t) =>
+      this.changed(t),
+    );
+    this.writes = new Bucket(this.writeShare(false), Math.max(2, this.writeShare(false)));
+    this.intake = new Intake(this.store, this.writes, steady, c.txnOps, TXN_BYTES, c.reportS);
+    this.app = buildServer(this, {
+      limit: new AdaptiveLimit(4, operator.maxInProgress, answerMs / 1000 / 4),
+      now: steady,
+      retryAfterS: 1,
+    });
+  }
+
+  /** The holder writes most: it has half of the changes a second, the others share the rest. */
+  private writeShare(holder: boolean): number {
+    const c = this.settings.cluster;
+    return (c.stateWriteRps / 2) * (holder ? 1 : 1 / Math.max(1, c.nodes - 1));
+  }
+
+  async start(): Promise<void> {
+    const [host, port] = this.settings.serveOn.split(":") as [string, string];
+    await this.app.listen({ host, port: Number(port) });
+    this.log.info({ member: this.settings.member, on: this.settings.serveOn }, "listening");
+    void this.follower.run();
+    void this.catalogLoop();
+    void this.tickLoop();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.follower.stop();
+    await this.app.close();
+  }
+
+  // ---------------------------------------------------------------- users
+
+  healthy(): boolean {
+    return this.follower.loaded && steady() - this.store.lastAnswer < this.settings.cluster.leaseS;
+  }
+
+  async read(id: string): Promise<JobView | null | "unavailable"> {
+    return (await this.follower.catchUp()) ? this.records.view(id) : "unavailable";
+  }
+
+  judge(spec: JobSpec): "fits" | "never" | "unknown" {
+    const c = this.settings.cluster;
+    if (!c.teams.some((t) => t.name === spec.team)) return "never";
+    if (this.types.length === 0) return "unknown";
+    return canEverRun(spec, c, this.types) ? "fits" : "never";
+  }
+
+  submit(spec: JobSpec) {
+    return this.intake.submit(spec, Date.now());
+  }
+
+  cancel(id: string) {
+    return this.intake.cancel(id, Date.now());
+  }
+
+  // ---------------------------------------------------------------- workers
+
+  report(r: Report): ReturnType<Desk["report"]> {
+    const now = steady();
+    if (this.term !== null && this.scheduler !== null) {
+      if (this.term.acting(now)) {
+        const { commands, outputs } = this.scheduler.report(r, now);
+        const token = this.term.epoch;
+        this.perform(outputs);
+        this.queueTick();
+        return { kind: "answer", token, commands };
+      }
+      if (this.term.answering(now, this.graceS) && r.token <= this.term.epoch) {
+        this.scheduler.renewedWithout(r, now);
+        return { kind: "answer", token: this.term.epoch, commands: [] };
+      }
+      return { kind: "unavailable" };
+    }
+    const holder = this.records.lead?.value.member ?? null;
+    return { kind: "elsewhere", holder: holder === this.settings.member ? null : holder };
+  }
+
+  // ---------------------------------------------------------------- the term
+
+  private changed(touched: Touched | null): void {
+    const now = steady();
+    if (this.scheduler !== null && this.term !== null) {
+      const lead = this.records.lead?.value;
+      if (this.records.epoch.value.n > this.term.epoch && !this.bumpWanted) {
+        this.lose(`epoch ${this.records.epoch.value.n} was taken by ${lead?.member ?? "another"}`);
+      } else {
+        const ids = touched === null ? this.records.live.keys() : touched.jobs;
+        for (const id of ids) this.scheduler.recordChanged(this.records, id, now);
+      }
+    }
+    if (this.types.length === 0 && this.records.types !== null) this.types = this.records.types;
+    this.queueTick();
+  }
+
+  private async acquire(): Promise<void> {
+    if (this.acquiring || this.term !== null) return;
+    this.acquiring = true;
+    try {
+      const sentAt = steady();
+      const lease = await this.store.grant(this.ttlS * 1000);
+      if (lease === null) return;
+      const epoch = this.records.epoch.value.n + 1;
+      const lead: StoredLead = { member: this.settings.member, epoch, lease };
+      const r = await this.store.txn(
+        [
+          { key: KEY.lead, mark: 0 },
+          { key: KEY.epoch, mark: this.records.epoch.mark },
+        ],
+        [
+          { op: "put", key: KEY.lead, value: lead, lease },
+          { op: "put", key: KEY.epoch, value: { n: epoch } },
+        ],
+      );
+      const caughtUp = await this.follower.catchUp();
+      const won =
+        caughtUp &&
+        this.records.lead?.value.lease === lease &&
+        this.records.epoch.value.n === epoch;
+      if (!won) {
+        if (r.kind !== "failed") this.log.info({ outcome: r.kind }, "term not taken");
+        void this.store.revoke(lease);
+        return;
+      }
+      const now = steady();
+      const term = new Term(
+        this.settings.member,
+        epoch,
+        this.records.epoch.mark,
+        lease,
+        this.ttlS,
+        sentAt,
+      );
+      if (!term.acting(now)) {
+        void this.store.revoke(lease);
+        return;
+      }
+      const c = this.settings.cluster;
+      const scheduler = new Scheduler(
+        c,
+        {
+          spare: this.operator.spareRatio,
+          maxMachines: this.operator.maxMachines,
+          idleReturnS: this.operator.idleLeases * c.leaseS,
+          graceS: this.graceS,
+        },
+        epoch,
+        this.records.epoch.mark,
+        now,
+      );
+      scheduler.setTypes(this.types);
+      this.term = term;
+      this.scheduler = scheduler;
+      this.writes.setRate(this.writeShare(true));
+      this.log.info({ epoch, jobs: this.records.live.size }, "term taken");
+      this.perform(scheduler.load(this.records, now));
+      void this.renewLoop(term);
+    } finally {
+      this.acquiring = false;
+    }
+  }
+
+  private async renewLoop(term: Term): Promise<void> {
+    while (this.term === term && !this.stopped) {
+      await sleep(this.ttlS / 4);
+      const sentAt = steady();
+      const r = await this.store.extend(term.lease);
+      if (this.term !== term) return;
+      if (r === "ok") term.renewed(sentAt);
+      else if (r === "ended") this.lose("the lease ended");
+      else if (!term.answering(steady(), this.graceS)) this.lose("no renewal for too long");
+    }
+  }
+
+  private lose(why: string): void {
+    if (this.term === null) return;
+    this.log.info({ epoch: this.term.epoch, why }, "term lost");
+    void this.store.revoke(this.term.lease);
+    this.term = null;
+    this.scheduler = null;
+    this.bumpWanted = false;
+    this.writes.setRate(this.writeShare(false));
+  }
+
+  /** Raises the token under the same term, so that starts still under way are dropped. */
+  private async bump(term: Term, scheduler: Scheduler): Promise<void> {
+    const n = term.epoch + 1;
+    const lead: StoredLead = { member: this.settings.member, epoch: n, lease: term.lease };
+    const r = await this.store.txn(
+      [{ key: KEY.epoch, mark: term.epochMark }],
+      [
+        { op: "put", key: KEY.epoch, value: { n } },
+        { op: "put", key: KEY.lead, value: lead, lease: term.lease },
+      ],
+    );
+    if (r.kind !== "refused") await this.follower.catchUp();
+    if (this.term !== term) return;
+    const now = steady();
+    this.bumpWanted = false;
+    if (this.records.epoch.value.n === n && this.records.lead?.value.lease === term.lease) {
+      term.epoch = n;
+      term.epochMark = this.records.epoch.mark;
+      this.log.info({ epoch: n }, "token raised");
+      this.perform(scheduler.bumped({ n, mark: term.epochMark }, now));
+    } else if (this.records.epoch.value.n > term.epoch) this.lose("epoch taken while raising it");
+    else this.perform(scheduler.bumped(null, now));
+  }
+
+  // ---------------------------------------------------------------- loops
+
+  private async tickLoop(): Promise<void> {
+    const every = this.settings.cluster.reportS / 20;
+    while (!this.stopped) {
+      this.tick();
+      await sleep(every);
+    }
+  }
+
+  private queueTick(): void {
+    if (this.tickQueued) return;
+    this.tickQueued = true;
+    setImmediate(() => {
+      this.tickQueued = false;
+      this.tick();
+    });
+  }
+
+  private tick(): void {
+    const now = steady();
+    const { term, scheduler } = this;
+    if (term === null || scheduler === null) {
+      const lead = this.records.lead;
+      if (!this.follower.loaded || this.types.length === 0 || this.acquiring) return;
+      if (lead === null) void this.acquire();
+      else if (lead.value.member === this.settings.member) {
+        // The term of this node's former life: nobody acts for it any more.
+        this.acquiring = true;
+        void this.store.revoke(lead.value.lease).then(async () => {
+          await this.follower.catchUp();
+          this.acquiring = false;
+        });
+      }
+      return;
+    }
+    if (!term.acting(now)) return;
+    this.perform(scheduler.tick(now, Date.now()));
+    this.write();
+  }
+
+  private write(): void {
+    const { term, scheduler } = this;
+    if (term === null || scheduler === null || this.writing) return;
+    const now = steady();
+    if (!term.acting(now)) return;
+    if (this.bumpWanted) {
+      this.writing = true;
+      void this.bump(term, scheduler).finally(() => {
+        this.writing = false;
+        this.queueTick();
+      });
+      return;
+    }
+    const room = Math.floor(this.writes.available(now));
+    if (room < 3 || !scheduler.hasUrgentWrite) return;
+    const w = scheduler.nextWrite(Math.min(room, this.settings.cluster.txnOps), TXN_BYTES);
+    if (w === null) return;
+    this.writes.force(w.changes.length, now);
+    this.writing = true;
+    void this.commit(term, scheduler, w).finally(() => {
+      this.writing = false;
+      this.queueTick();
+    });
+  }
+
+  private async commit(term: Term, scheduler: Scheduler, w: Write): Promise<void> {
+    const r = await this.store.txn(w.conditions, w.changes);
+    const finish = (outcome: Parameters<Scheduler["written"]>[1], revision: number): void => {
+      if (this.scheduler !== scheduler) return;
+      this.perform(scheduler.written(w, outcome, revision, this.records, steady()));
+    };
+    if (r.kind === "ok") return finish("ok", r.revision);
+    if (r.kind === "refused") {
+      this.log.debug({ status: r.status }, "write refused");
+      finish("refused", 0);
+      await sleep(this.settings.cluster.reportS / 30);
+      return;
+    }
+    this.log.info({ outcome: r }, "write not certain");
+    // Whatever happened to it, only a fresh read tells what is stored now.
+    for (;;) {
+      if (await this.follower.catchUp()) break;
+      if (this.term !== term) return;
+      await sleep(this.settings.cluster.reportS / 10);
+    }
+    if (this.records.epoch.mark !== term.epochMark) {
+      this.lose("a write found another epoch");
+      return;
+    }
+    finish(r.kind === "failed" ? "conflict" : "unknown", 0);
+  }
+
+  private async catalogLoop(): Promise<void> {
+    const { leaseS, cloudRps } = this.settings.cluster;
+    while (!this.stopped) {
+      const types = await this.cloud.catalog();
+      if (types === null || types.length === 0) {
+        await sleep(this.types.length === 0 ? 4 / cloudRps : leaseS);
+        continue;
+      }
+      this.types = types;
+      this.scheduler?.setTypes(types);
+      await this.storeTypes(types);
+      this.queueTick();
+      await sleep(10 * leaseS);
+    }
+  }
+
+  /** Kept so that a start while the cloud is down knows the machine types. */
+  private async storeTypes(types: readonly MachineType[]): Promise<void> {
+    const fixed = (t: readonly MachineType[]): string =>
+      JSON.stringify(t.map((x) => ({ ...x, spotPrice: 0, price: 0 })));
+    while (!this.follower.loaded) await sleep(0.2);
+    const stored = this.records.types;
+    if (stored !== null && fixed(stored) === fixed(types)) return;
+    if (JSON.stringify(types).length > this.settings.cluster.valueKb * 1024) return;
+    await this.store.txn([], [{ op: "put", key: KEY.types, value: types }]);
+  }
+
+  // ---------------------------------------------------------------- outputs
+
+  private perform(outputs: readonly Output[]): void {
+    for (const o of outputs) this.performOne(o);
+  }
+
+  private performOne(o: Output): void {
+    const { term, scheduler } = this;
+    if (o.kind === "log") {
+      this.log.info(o.fields, o.message);
+      return;
+    }
+    if (term === null || scheduler === null) return;
+    /** Results of a scheduler that is no longer in office are dropped. */
+    const back = (f: () => Output[]): void => {
+      if (this.scheduler !== scheduler) return;
+      this.perform(f());
+      this.queueTick();
+    };
+    const acting = term.acting(steady());
+    switch (o.kind) {
+      case "send": {
+        if (!acting) {
+          setImmediate(() =>
+            back(() =>
+              scheduler.sent(o.machine, o.commands, { kind: "lost", sent: false }, steady()),
+            ),
+          );
+          return;
+        }
+        void this.workers
+          .send(o.address, term.epoch, o.session, o.commands)
+          .then((r) => back(() => scheduler.sent(o.machine, o.commands, r, steady())));
+        return;
+      }
+      case "show":
+        void this.workers
+          .show(o.address)
+          .then((r) => back(() => scheduler.shown(o.machine, r, steady())));
+        return;
+      case "rent":
+        void (
+          acting ? this.cloud.rent(o.name, o.type, o.zone, o.spot, o.count) : refusedRent()
+        ).then((r) => back(() => scheduler.rented(o, r, steady())));
+        return;
+      case "return":
+        void (acting ? this.cloud.giveBack(o.machines) : Promise.resolve(false)).then((ok) =>
+          back(() => scheduler.returned(o.machines, ok, steady())),
+        );
+        return;
+      case "list":
+        void this.cloud.list().then((l) => {
+          back(() => scheduler.list(l, steady()));
+          this.workers.keepOnly(scheduler.addresses());
+        });
+        return;
+      case "bump":
+        this.bumpWanted = true;
+        return;
+      case "resign":
+        this.lose(o.why);
+        return;
+    }
+  }
+}
+
+const refusedRent = (): Promise<"trouble"> => Promise.resolve("trouble");
--- /dev/null
+++ b/src/core/cluster.ts
@@ -0,0 +1,315 @@
+/** The term holder's view of machines, jobs and what may be where. Bookkeeping only. */
+import type { Expression } from "../algebra/expression.js";
+import type { JobSpec, MachineType, Team } from "./model.js";
+import { residuals, written } from "./pipeline.js";
+import { Ranges } from "./ranges.js";
+import type { StoredJob, StoredPlacement } from "./records.js";
+
+/**
+ * Where a placement stands. `loaded`: read from the state after a takeover, nothing known of it.
+ * `planned`: no start was sent under this token. `sent`: a start is out or unanswered. The others
+ * are what the worker reported.
+ */
+export type PlacementState =
+  | "loaded"
+  | "planned"
+  | "sent"
+  | "fetching"
+  | "waiting"
+  | "running"
+  | "saving";
+
+export interface Stop {
+  readonly why: string;
+  readonly graceS: number;
+  sentAt: number;
+}
+
+export class Placement {
+  state: PlacementState = "planned";
+  /** Direct start commands on the wire. */
+  inFlight = 0;
+  stop: Stop | null = null;
+  sentAt = Number.NEGATIVE_INFINITY;
+  /** When the state last changed. */
+  since: number;
+  runningSince = 0;
+
+  constructor(
+    readonly job: LiveJob,
+    readonly task: number,
+    readonly attempt: number,
+    readonly machine: Machine,
+    readonly session: number,
+    /** The job's version that must be stored before a start is sent. */
+    readonly version: number,
+    now: number,
+  ) {
+    this.since = now;
+  }
+
+  get key(): string {
+    return taskKey(this.job.spec.id, this.task, this.attempt);
+  }
+}
+
+export const taskKey = (job: string, task: number, attempt: number): string =>
+  `${job}/${task}#${attempt}`;
+
+export interface EndedTask {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  /** Job version that must be stored before the worker may forget it. */
+  readonly version: number;
+}
+
+export class Machine {
+  address = "";
+  session = 0;
+  seq = -1;
+  /** The worker has answered under the present token, so older commands are dropped there. */
+  fenced = false;
+  /** `booting` until its worker is heard, `gone` once proven. */
+  state: "booting" | "up" | "returning" | "gone" = "booting";
+  /** Last time a message from the worker arrived. */
+  lastHeard = Number.NEGATIVE_INFINITY;
+  /** Latest time at which any holder can have renewed the worker's lease. */
+  lastRenewed = Number.NEGATIVE_INFINITY;
+  /** Time at which the cloud takes it, when told. */
+  takenAt: number | null = null;
+  bootingSince = 0;
+  /** A direct request is outstanding. */
+  busy = false;
+  directAfter = Number.NEGATIVE_INFINITY;
+  idleSince: number;
+  stored = false;
+  readonly placements = new Map<string, Placement>();
+  readonly ended = new Map<string, EndedTask>();
+  /** Starts sent without an answer, by the token they carried: they may still arrive. */
+  readonly doubts = new Map<string, number>();
+  /** Images it holds or fetches, with the time of last use and size. */
+  readonly images = new Map<string, { at: number; gb: number; ready: boolean }>();
+  /** Jobs that failed here lately. */
+  readonly failedJobs = new Set<string>();
+  /** Not used for new work; it is returned once empty. */
+  drain: string | null = null;
+  refusedUntil = Number.NEGATIVE_INFINITY;
+  reservedFor: { job: string; until: number } | null = null;
+  cpusUsed = 0;
+  gpusUsed = 0;
+  memoryUsed = 0;
+  returnAskedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    readonly name: string,
+    readonly type: MachineType,
+    readonly zone: string,
+    readonly spot: boolean,
+    now: number,
+  ) {
+    this.idleSince = now;
+    this.bootingSince = now;
+  }
+
+  get freeCpus(): number {
+    return this.type.cpus - this.cpusUsed;
+  }
+  get freeGpus(): number {
+    return this.type.gpus - this.gpusUsed;
+  }
+  get freeMemory(): number {
+    return this.type.memoryGb - this.memoryUsed;
+  }
+}
+
+const EPSILON = 1e-6;
+/** How many tasks of this shape fit into these amounts. */
+export function slots(spec: JobSpec, cpus: number, gpus: number, memory: number): number {
+  let n = Number.MAX_SAFE_INTEGER;
+  if (spec.cpus > 0) n = Math.min(n, Math.floor((cpus + EPSILON) / spec.cpus));
+  if (spec.gpus > 0) n = Math.min(n, Math.floor((gpus + EPSILON) / spec.gpus));
+  if (spec.memoryGb > 0) n = Math.min(n, Math.floor((memory + EPSILON) / spec.memoryGb));
+  return Math.max(0, n);
+}
+
+export class LiveJob {
+  readonly spec: JobSpec;
+  readonly submittedAt: number;
+  dependencies: Expression[];
+  version: number;
+  savedVersion: number;
+  mark: number;
+  nextAttempt: number;
+  owner: number;
+  readonly done: Ranges;
+  readonly placements = new Map<number, Placement>();
+  /** Attempts on machines that our records did not hold: they count, and are stopped. */
+  readonly strays = new Set<Placement>();
+  cancelled = false;
+  started = false;
+  /** Length of the stored value when last written. */
+  size = 0;
+  backoffUntil = Number.NEGATIVE_INFINITY;
+  errors = 0;
+  readonly errorMachines = new Set<string>();
+  anyDone = false;
+  /** Time at which tasks of it first waited for room. */
+  waitingSince: number | null = null;
+
+  constructor(stored: StoredJob, mark: number) {
+    this.spec = stored.j;
+    this.submittedAt = stored.at;
+    this.dependencies = residuals(stored.r);
+    this.version = stored.v;
+    this.savedVersion = stored.v;
+    this.mark = mark;
+    this.nextAttempt = stored.n;
+    this.owner = stored.o;
+    this.done = Ranges.parse(stored.done);
+    this.started = stored.o > 0;
+  }
+
+  get dirty(): boolean {
+    return this.version > this.savedVersion;
+  }
+  get complete(): boolean {
+    return this.spec.kind !== "service" && this.done.size >= this.spec.tasks;
+  }
+  get present(): number {
+    return this.placements.size + this.strays.size;
+  }
+  touch(): void {
+    this.version++;
+  }
+
+  *pending(): Generator<number> {
+    for (const t of this.done.missing(this.spec.tasks)) if (!this.placements.has(t)) yield t;
+  }
+  get pendingCount(): number {
+    let placed = 0;
+    for (const t of this.placements.keys()) if (!this.done.has(t)) placed++;
+    return this.spec.tasks - this.done.size - placed;
+  }
+
+  *everyPlacement(): Generator<Placement> {
+    yield* this.placements.values();
+    yield* this.strays;
+  }
+
+  toStored(): StoredJob {
+    const groups = new Map<string, { at: [string, number, number]; tasks: number[] }>();
+    for (const p of this.placements.values()) {
+      const key = `${p.machine.name} ${p.session} ${p.attempt}`;
+      const g = groups.get(key);
+      if (g === undefined)
+        groups.set(key, { at: [p.machine.name, p.session, p.attempt], tasks: [p.task] });
+      else g.tasks.push(p.task);
+    }
+    const pl: StoredPlacement[] = [];
+    for (const g of groups.values()) pl.push([...g.at, Ranges.of(g.tasks).toString()]);
+    return {
+      j: this.spec,
+      at: this.submittedAt,
+      r: written(this.dependencies),
+      v: this.version,
+      n: this.nextAttempt,
+      o: this.owner,
+      done: this.done.toString(),
+      pl,
+    };
+  }
+}
+
+export interface Usage {
+  cpus: number;
+  gpus: number;
+}
+
+export class Cluster {
+  readonly jobs = new Map<string, LiveJob>();
+  readonly machines = new Map<string, Machine>();
+  readonly usage = new Map<string, Usage>();
+  readonly teams = new Map<string, Team>();
+
+  constructor(teams: readonly Team[]) {
+    for (const t of teams) this.teams.set(t.name, t);
+  }
+
+  usageOf(team: string): Usage {
+    let u = this.usage.get(team);
+    if (u === undefined) {
+      u = { cpus: 0, gpus: 0 };
+      this.usage.set(team, u);
+    }
+    return u;
+  }
+
+  /** How many more tasks of this shape the team's limit allows; a limit of 0 is none. */
+  quotaSlots(spec: JobSpec): number {
+    const team = this.teams.get(spec.team);
+    if (team === undefined) return 0;
+    const u = this.usageOf(spec.team);
+    let n = Number.MAX_SAFE_INTEGER;
+    if (team.cpusMax > 0 && spec.cpus > 0)
+      n = Math.min(n, Math.floor((team.cpusMax - u.cpus + EPSILON) / spec.cpus));
+    if (team.gpusMax > 0 && spec.gpus > 0)
+      n = Math.min(n, Math.floor((team.gpusMax - u.gpus + EPSILON) / spec.gpus));
+    return Math.max(0, n);
+  }
+
+  /** Books a placement on its machine and against its team, where it counts until released. */
+  add(p: Placement, stray = false): void {
+    if (stray) p.job.strays.add(p);
+    else p.job.placements.set(p.task, p);
+    p.machine.placements.set(p.key, p);
+    const { cpus, gpus, memoryGb } = p.job.spec;
+    p.machine.cpusUsed += cpus;
+    p.machine.gpusUsed += gpus;
+    p.machine.memoryUsed += memoryGb;
+    const u = this.usageOf(p.job.spec.team);
+    u.cpus += cpus;
+    u.gpus += gpus;
+  }
+
+  /** The attempt is proven gone. */
+  release(p: Placement, now: number): void {
+    if (!p.machine.placements.delete(p.key)) return;
+    if (p.job.placements.get(p.task) === p) p.job.placements.delete(p.task);
+    p.job.strays.delete(p);
+    const { cpus, gpus, memoryGb } = p.job.spec;
+    p.machine.cpusUsed -= cpus;
+    p.machine.gpusUsed -= gpus;
+    p.machine.memoryUsed -= memoryGb;
+    if (p.machine.placements.size === 0) p.machine.idleSince = now;
+    const u = this.usageOf(p.job.spec.team);
+    u.cpus -= cpus;
+    u.gpus -= gpus;
+    p.job.touch();
+  }
+
+  /**
+   * Jobs within their team's guarantee: those that fit it together with the team's earlier
+   * unfinished jobs. A guarantee of 0 promises nothing of that resource, and so cannot be
+   * exceeded in it, as long as the team is guaranteed anything at all.
+   */
+  withinGuarantee(): Set<string> {
+    const out = new Set<string>();
+    const sums = new Map<string, Usage>();
+    const byAge = [...this.jobs.values()].sort((a, b) => a.submittedAt - b.submittedAt);
+    for (const job of byAge) {
+      if (job.cancelled || job.complete) continue;
+      const team = this.teams.get(job.spec.team);
+      if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) continue;
+      const sum = sums.get(team.name) ?? { cpus: 0, gpus: 0 };
+      sums.set(team.name, sum);
+      sum.cpus += job.spec.cpus * job.spec.tasks;
+      sum.gpus += job.spec.gpus * job.spec.tasks;
+      const fits =
+        (team.cpus <= 0 || sum.cpus <= team.cpus + EPSILON) &&
+        (team.gpus <= 0 || sum.gpus <= team.gpus + EPSILON);
+      if (fits) out.add(job.spec.id);
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/core/model.ts
@@ -0,0 +1,149 @@
+/** The field's terms, shared by the core and its adapters. Wire names stay in wire/. */
+
+export type Kind = "array" | "gang" | "service";
+export type Priority = "production" | "high" | "normal" | "low";
+
+export interface JobSpec {
+  readonly id: string;
+  readonly class: string;
+  readonly team: string;
+  readonly kind: Kind;
+  readonly priority: Priority;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly estimateS: number;
+  readonly checkpointS: number;
+  readonly saveS: number;
+  readonly deadlineS: number | null;
+}
+
+export type JobState = "queued" | "running" | "done" | "cancelled";
+
+export interface JobView {
+  readonly id: string;
+  readonly state: JobState;
+  readonly done: number;
+  readonly running: number;
+}
+
+export interface MachineType {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly cacheGb: number;
+  readonly fetchGbPerS: number;
+  readonly price: number;
+  readonly spotPrice: number;
+  readonly bootS: number;
+  readonly zones: readonly string[];
+}
+
+export type TaskState = "fetching" | "waiting" | "running" | "saving" | "exited";
+export type ExitCause =
+  | "done"
+  | "stopped"
+  | "peers"
+  | "alone"
+  | "error"
+  | "no_room"
+  | "busy"
+  | "unknown";
+
+export interface TaskReport {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly state: TaskState;
+  readonly cause: ExitCause | null;
+  readonly saved: boolean;
+}
+
+export interface Report {
+  readonly machine: string;
+  readonly address: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly session: number;
+  readonly seq: number;
+  readonly token: number;
+  readonly noticeS: number | null;
+  readonly tasks: readonly TaskReport[];
+}
+
+export type Command =
+  | { readonly op: "start"; readonly job: string; readonly task: number; readonly attempt: number }
+  | {
+      readonly op: "stop";
+      readonly job: string;
+      readonly task: number;
+      readonly attempt: number;
+      readonly graceS: number;
+    }
+  | {
+      readonly op: "forget";
+      readonly job: string;
+      readonly task: number;
+      readonly attempt: number;
+    };
+
+export interface ListedMachine {
+  readonly name: string;
+  readonly address: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly state: "booting" | "running" | "failed";
+  readonly ageS: number;
+}
+
+export interface Team {
+  readonly name: string;
+  readonly cpus: number;
+  readonly cpusMax: number;
+  readonly gpus: number;
+  readonly gpusMax: number;
+}
+
+export interface Objective {
+  readonly kind: string;
+  readonly class: string | null;
+  readonly withinS: number | null;
+  readonly share: number;
+}
+
+/** What the platform's settings say of the cluster, in the field's terms. */
+export interface ClusterSettings {
+  readonly nodes: number;
+  readonly zones: readonly string[];
+  readonly teams: readonly Team[];
+  readonly objectives: readonly Objective[];
+  readonly reportS: number;
+  readonly leaseS: number;
+  readonly gangWaitS: number;
+  readonly gangPeerS: number;
+  readonly cancelS: number;
+  readonly stateRps: number;
+  readonly stateWriteRps: number;
+  readonly valueKb: number;
+  readonly txnOps: number;
+  readonly cloudRps: number;
+  readonly listLagS: number;
+  readonly cpuShare: number;
+  readonly memoryMb: number;
+  readonly sockets: number;
+  readonly clockOffMs: number;
+}
+
+/** The steady clocks of two machines drift apart by at most this share (the protocol's figure). */
+export const CLOCK_DRIFT = 0.0005;
--- /dev/null
+++ b/src/core/pipeline.ts
@@ -0,0 +1,71 @@
+/**
+ * Pipelines: jobs bound by dependencies over their start, done and failed events.
+ *
+ * A pipeline may hold many jobs. The users' interface carries one job a submission, so what is
+ * submitted becomes a pipeline of one job with the dependencies that any job obeys by itself.
+ */
+import {
+  type Attributes,
+  type Expression,
+  format,
+  isZero,
+  mentions,
+  parse,
+  residuate,
+  secure,
+} from "../algebra/expression.js";
+
+export type JobEvent = "start" | "done" | "failed";
+
+/** `start` of job `a` is the event `s:a`. */
+const PREFIX: Record<JobEvent, string> = { start: "s", done: "d", failed: "f" };
+export const eventName = (event: JobEvent, job: string): string => `${PREFIX[event]}:${job}`;
+
+/**
+ * Start is triggered by the controllers. Done is like commit in the paper: it counts only once the
+ * conditional write is through, so it can be delayed and rejected. Failed is like abort: the
+ * controllers are told after the fact.
+ */
+const START: Attributes = { triggerable: true, rejectable: true, delayable: true };
+const DONE: Attributes = { triggerable: false, rejectable: true, delayable: true };
+const FAILED: Attributes = { triggerable: false, rejectable: false, delayable: false };
+export const attributesOf = (event: string): Attributes =>
+  event.startsWith("s:") ? START : event.startsWith("d:") ? DONE : FAILED;
+
+/** What every job obeys: start before done, never both done and failed, no start once failed. */
+export function ownDependencies(job: string): Expression[] {
+  const s = eventName("start", job);
+  const d = eventName("done", job);
+  const f = eventName("failed", job);
+  return [parse(`~${d} + ${s}.${d}`), parse(`~${d} + ~${f}`), parse(`~${s} + ~${f} + ${s}.${f}`)];
+}
+
+export const residuals = (dependencies: readonly string[]): Expression[] => dependencies.map(parse);
+export const written = (dependencies: readonly Expression[]): string[] => dependencies.map(format);
+
+/** An event that occurred residuates each dependency that names it. */
+export function occur(dependencies: readonly Expression[], atom: string): Expression[] {
+  return dependencies.map((d) => (mentions(d, atom) ? residuate(d, atom) : d));
+}
+
+/** A waiting event is accepted when no residual becomes zero and each stays secure. */
+export function acceptable(dependencies: readonly Expression[], atom: string): boolean {
+  return dependencies.every((d) => {
+    if (!mentions(d, atom)) return true;
+    const next = residuate(d, atom);
+    return !isZero(next) && secure(next, attributesOf);
+  });
+}
+
+/** Starts that some residual can only be met by: they are triggered and queued as attempted. */
+export function required(dependencies: readonly Expression[]): string[] {
+  const out = new Set<string>();
+  for (const d of dependencies) {
+    if (d.length === 0) continue;
+    const [first, ...rest] = d;
+    for (const atom of first ?? []) {
+      if (atom.startsWith("s:") && rest.every((t) => t.includes(atom))) out.add(atom);
+    }
+  }
+  return [...out];
+}
--- /dev/null
+++ b/src/core/planner.ts
@@ -0,0 +1,357 @@
+/**
+ * Placement: which waiting task goes to which machine, and who makes room for whom.
+ * Works on the holder's view, which may be stale: a placement counts once it is stored, and
+ * workers refuse what does not fit them.
+ */
+import { type Cluster, type LiveJob, type Machine, Placement, slots } from "./cluster.js";
+import type { ClusterSettings, JobSpec, Priority } from "./model.js";
+
+const RANK: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
+export const rankOf = (p: Priority): number => RANK[p];
+
+export interface PlanContext {
+  readonly cluster: Cluster;
+  readonly settings: ClusterSettings;
+  readonly now: number;
+  /** Time of day in milliseconds, for deadlines. */
+  readonly wallMs: number;
+  /** Largest value that a pipeline may grow to while tasks are still being placed. */
+  readonly valueBytes: number;
+  readonly log: (message: string, fields: Record<string, unknown>) => void;
+}
+
+/** A machine takes new work while its reports come in time. */
+export function usable(m: Machine, job: LiveJob | null, ctx: PlanContext): boolean {
+  return (
+    m.state === "up" &&
+    m.fenced &&
+    m.stored &&
+    m.drain === null &&
+    m.takenAt === null &&
+    ctx.now - m.lastHeard < 1.5 * ctx.settings.reportS &&
+    ctx.now >= m.refusedUntil &&
+    (m.reservedFor === null || job === null || m.reservedFor.job === job.spec.id)
+  );
+}
+
+export function typeAllowed(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
+  return (
+    (spec.types === null || spec.types.includes(type)) &&
+    (spec.zone === null || spec.zone === zone) &&
+    (spec.spot || !spot)
+  );
+}
+
+/** Seconds until the image would be there. */
+export function imageWait(m: Machine, spec: JobSpec): number {
+  const held = m.images.get(spec.image);
+  if (held?.ready) return 0;
+  let others = 0;
+  for (const i of m.images.values()) if (!i.ready) others += i.gb;
+  const own = spec.imageGb / m.type.fetchGbPerS;
+  return held === undefined ? own + others / m.type.fetchGbPerS : own / 2;
+}
+
+/** The most a GPU job that was seen takes of a machine for each GPU. */
+export interface GpuShape {
+  cpus: number;
+  memoryGb: number;
+}
+
+/** Lower is better; in seconds of waiting, more or less. */
+function score(m: Machine, spec: JobSpec, gpuShape: GpuShape | null): number {
+  let s = imageWait(m, spec);
+  if (m.type.gpus > 0 && spec.gpus === 0 && gpuShape !== null) {
+    // Work without GPUs should leave GPUs usable: what blocks one costs as much as a boot.
+    const left = Math.min(
+      (m.freeCpus - spec.cpus) / gpuShape.cpus,
+      gpuShape.memoryGb > 0 ? (m.freeMemory - spec.memoryGb) / gpuShape.memoryGb : Infinity,
+    );
+    if (left < m.freeGpus && m.freeGpus > 0) s += m.type.bootS * 2;
+  }
+  if (spec.kind === "service") {
+    // Replicas apart from one another, so that a machine's end takes few.
+    for (const p of m.placements.values()) if (p.job.spec.kind === "service") s += 0.2;
+  } else {
+    // Others where little is left, and off the machines that replicas need.
+    s += 0.5 * (m.freeCpus / Math.max(m.type.cpus, 1));
+    if (m.spot) s -= 1;
+  }
+  return s;
+}
+
+interface Candidate {
+  readonly machine: Machine;
+  readonly fits: number;
+  readonly score: number;
+}
+
+/** Tasks that may still start in each zone when at most half may be in one. */
+function spreadRoom(job: LiveJob): (zone: string) => number {
+  if (!job.spec.spread) return () => Number.MAX_SAFE_INTEGER;
+  const limit = Math.ceil(job.spec.tasks / 2);
+  const inZone = new Map<string, number>();
+  for (const p of job.everyPlacement()) {
+    inZone.set(p.machine.zone, (inZone.get(p.machine.zone) ?? 0) + 1);
+  }
+  return (zone) => limit - (inZone.get(zone) ?? 0);
+}
+
+/** Zone that a job's tasks must share, if any is on a machine now. */
+function boundZone(job: LiveJob): string | null {
+  if (!job.spec.oneZone) return null;
+  for (const p of job.everyPlacement()) return p.machine.zone;
+  return null;
+}
+
+function candidates(job: LiveJob, ctx: PlanContext, gpuShape: GpuShape | null): Candidate[] {
+  const out: Candidate[] = [];
+  const zone = boundZone(job);
+  for (const m of ctx.cluster.machines.values()) {
+    if (!usable(m, job, ctx)) continue;
+    if (zone !== null && m.zone !== zone) continue;
+    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (job.errorMachines.has(m.name)) continue;
+    const fits = slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory);
+    if (fits > 0) out.push({ machine: m, fits, score: score(m, job.spec, gpuShape) });
+  }
+  return out.sort((a, b) => a.score - b.score || (a.machine.name < b.machine.name ? -1 : 1));
+}
+
+function place(job: LiveJob, tasks: number[], on: Candidate[], ctx: PlanContext): number {
+  const room = spreadRoom(job);
+  const attempt = job.nextAttempt;
+  let next = 0;
+  let version = 0;
+  for (const c of on) {
+    let n = Math.min(c.fits, tasks.length - next);
+    for (; n > 0 && room(c.machine.zone) > placedIn(job, c.machine.zone, attempt); n--) {
+      if (next === 0) {
+        job.nextAttempt++;
+        job.touch();
+        version = job.version;
+      }
+      const p = new Placement(
+        job,
+        tasks[next++]!,
+        attempt,
+        c.machine,
+        c.machine.session,
+        version,
+        ctx.now,
+      );
+      ctx.cluster.add(p);
+      if (!c.machine.images.has(job.spec.image)) {
+        c.machine.images.set(job.spec.image, { at: ctx.now, gb: job.spec.imageGb, ready: false });
+      }
+      ctx.log("place", {
+        task: `${job.spec.id}/${p.task}`,
+        attempt,
+        machine: c.machine.name,
+        zone: c.machine.zone,
+        why: imageWait(c.machine, job.spec) === 0 ? "image there" : "free room",
+      });
+    }
+    if (next >= tasks.length) break;
+  }
+  return next;
+}
+
+/** `spreadRoom` counted what was there before this pass; this counts what the pass added. */
+function placedIn(job: LiveJob, zone: string, attempt: number): number {
+  if (!job.spec.spread) return 0;
+  let n = 0;
+  for (const p of job.placements.values())
+    if (p.attempt === attempt && p.machine.zone === zone) n++;
+  return n;
+}
+
+function take(pending: Iterable<number>, limit: number): number[] {
+  const out: number[] = [];
+  for (const t of pending) {
+    if (out.length >= limit) break;
+    out.push(t);
+  }
+  return out;
+}
+
+/** A gang goes out whole and only when nothing of an earlier attempt is left. */
+function placeGang(job: LiveJob, ctx: PlanContext, gpuShape: GpuShape | null): boolean {
+  if (job.present > 0) return false;
+  if (ctx.cluster.quotaSlots(job.spec) < job.spec.tasks) return false;
+  const all = candidates(job, ctx, gpuShape);
+  const tasks = take(job.pending(), job.spec.tasks);
+  const groups = job.spec.oneZone
+    ? [...new Set(all.map((c) => c.machine.zone))].map((z) =>
+        all.filter((c) => c.machine.zone === z),
+      )
+    : [all];
+  let best: Candidate[] | null = null;
+  let bestScore = Infinity;
+  for (const group of groups) {
+    let left = tasks.length;
+    let worst = 0;
+    const perZone = new Map<string, number>();
+    const limit = job.spec.spread ? Math.ceil(job.spec.tasks / 2) : Number.MAX_SAFE_INTEGER;
+    for (const c of group) {
+      if (left <= 0) break;
+      const used = perZone.get(c.machine.zone) ?? 0;
+      const n = Math.min(left, c.fits, limit - used);
+      if (n <= 0) continue;
+      perZone.set(c.machine.zone, used + n);
+      left -= n;
+      worst = Math.max(worst, c.score);
+    }
+    if (left <= 0 && worst < bestScore) {
+      best = group;
+      bestScore = worst;
+    }
+  }
+  if (best === null) return false;
+  place(job, tasks, best, ctx);
+  return true;
+}
+
+function placeTasks(job: LiveJob, ctx: PlanContext, gpuShape: GpuShape | null): void {
+  const quota = ctx.cluster.quotaSlots(job.spec);
+  if (quota <= 0) return;
+  // Each machine and run of tasks takes a few dozen bytes of the pipeline's one value.
+  if (job.size > 0.6 * ctx.valueBytes) return;
+  const entries = Math.floor((0.8 * ctx.valueBytes - job.size) / 48);
+  const tasks = take(job.pending(), Math.min(quota, Math.max(entries, 1) * 4));
+  if (tasks.length === 0) return;
+  place(job, tasks, candidates(job, ctx, gpuShape).slice(0, Math.max(entries, 1)), ctx);
+}
+
+/** May this placement be stopped to make room for the job? */
+function mayPreempt(
+  job: LiveJob,
+  p: Placement,
+  within: ReadonlySet<string>,
+  ctx: PlanContext,
+): boolean {
+  if (p.stop !== null) return false;
+  if (rankOf(p.job.spec.priority) > rankOf(job.spec.priority)) return true;
+  // To give a team its guarantee, what another team runs beyond its own may be stopped.
+  return (
+    within.has(job.spec.id) &&
+    !within.has(p.job.spec.id) &&
+    p.job.spec.team !== job.spec.team &&
+    p.job.spec.kind !== "service" &&
+    ctx.cluster.teams.has(job.spec.team)
+  );
+}
+
+/** Work lost if the placement is stopped now, in task seconds times CPUs. */
+function loss(p: Placement, now: number): number {
+  const ran = p.state === "running" ? now - p.runningSince : 0;
+  const lost = p.job.spec.checkpointS > 0 ? p.job.spec.saveS : ran;
+  return (1 + lost) * Math.max(p.job.spec.cpus, 0.1);
+}
+
+export interface Eviction {
+  readonly placement: Placement;
+  readonly forJob: string;
+}
+
+/** The cheapest set of tasks whose end lets one task of the job in, and where. */
+export function makeRoom(
+  job: LiveJob,
+  ctx: PlanContext,
+  within: ReadonlySet<string>,
+): { machine: Machine; victims: Placement[] } | null {
+  if (ctx.cluster.quotaSlots(job.spec) <= 0) return null;
+  const room = spreadRoom(job);
+  const zone = boundZone(job);
+  let best: { machine: Machine; victims: Placement[] } | null = null;
+  let bestCost = Infinity;
+  for (const m of ctx.cluster.machines.values()) {
+    if (!usable(m, job, ctx) || room(m.zone) <= 0) continue;
+    if (zone !== null && m.zone !== zone) continue;
+    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (job.errorMachines.has(m.name)) continue;
+    if (slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb) < 1) continue;
+    let cpus = m.freeCpus;
+    let gpus = m.freeGpus;
+    let memory = m.freeMemory;
+    // What is being stopped already will be free without stopping more.
+    for (const p of m.placements.values()) {
+      if (p.stop === null) continue;
+      cpus += p.job.spec.cpus;
+      gpus += p.job.spec.gpus;
+      memory += p.job.spec.memoryGb;
+    }
+    const victims: Placement[] = [];
+    let cost = imageWait(m, job.spec);
+    const order = [...m.placements.values()]
+      .filter((p) => mayPreempt(job, p, within, ctx))
+      .sort(
+        (a, b) =>
+          rankOf(b.job.spec.priority) - rankOf(a.job.spec.priority) ||
+          loss(a, ctx.now) - loss(b, ctx.now),
+      );
+    for (const p of order) {
+      if (slots(job.spec, cpus, gpus, memory) >= 1) break;
+      cpus += p.job.spec.cpus;
+      gpus += p.job.spec.gpus;
+      memory += p.job.spec.memoryGb;
+      victims.push(p);
+      cost += loss(p, ctx.now);
+    }
+    if (slots(job.spec, cpus, gpus, memory) < 1) continue;
+    if (cost < bestCost) {
+      best = { machine: m, victims };
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+/** Waiting jobs, the most urgent first. */
+export function order(ctx: PlanContext, within: ReadonlySet<string>): LiveJob[] {
+  const waiting: LiveJob[] = [];
+  for (const job of ctx.cluster.jobs.values()) {
+    if (job.cancelled || job.complete || ctx.now < job.backoffUntil) continue;
+    if (job.pendingCount > 0) waiting.push(job);
+    else job.waitingSince = null;
+  }
+  const due = (j: LiveJob): number =>
+    j.submittedAt + 1000 * (j.spec.deadlineS ?? objectiveFor(j, ctx) ?? 10 * ctx.settings.leaseS);
+  const level = (j: LiveJob): number =>
+    j.spec.priority === "production"
+      ? -1
+      : rankOf(j.spec.priority) - (within.has(j.spec.id) ? 0.5 : 0);
+  return waiting.sort(
+    (a, b) => level(a) - level(b) || due(a) - due(b) || (a.spec.id < b.spec.id ? -1 : 1),
+  );
+}
+
+/** The shortest time in which the class is expected to start or finish. */
+function objectiveFor(job: LiveJob, ctx: PlanContext): number | null {
+  let best: number | null = null;
+  for (const o of ctx.settings.objectives) {
+    if (o.class !== job.spec.class || o.withinS === null) continue;
+    if (best === null || o.withinS < best) best = o.withinS;
+  }
+  return best;
+}
+
+/** One pass over all that waits. Returns the jobs that still have tasks waiting for room. */
+export function plan(
+  ctx: PlanContext,
+  within: ReadonlySet<string>,
+  gpuShape: GpuShape | null,
+  mayStart: (job: LiveJob) => boolean,
+): LiveJob[] {
+  const left: LiveJob[] = [];
+  for (const job of order(ctx, within)) {
+    if (!mayStart(job)) continue;
+    if (job.spec.kind === "gang") placeGang(job, ctx, gpuShape);
+    else placeTasks(job, ctx, gpuShape);
+    if (job.pendingCount > 0) {
+      job.waitingSince ??= ctx.now;
+      left.push(job);
+    } else job.waitingSince = null;
+  }
+  return left;
+}
--- /dev/null
+++ b/src/core/records.ts
@@ -0,0 +1,143 @@
+/**
+ * What the state service holds, as every node follows it.
+ *
+ *   p/<id>   a live pipeline          d/<id>  how a job ended, for ever
+ *   x/<id>   a cancellation           m/<name> a machine that may hold tasks
+ *   lead     who holds the term       epoch   the count of terms, also the workers' token
+ *   types    the machine types, for a start while the cloud is down
+ */
+import type { Event, Item } from "../wire/state.js";
+import type { JobSpec, JobView, MachineType } from "./model.js";
+import { Ranges } from "./ranges.js";
+
+export const KEY = {
+  live: (id: string) => `p/${id}`,
+  final: (id: string) => `d/${id}`,
+  cancel: (id: string) => `x/${id}`,
+  machine: (name: string) => `m/${name}`,
+  lead: "lead",
+  epoch: "epoch",
+  types: "types",
+} as const;
+
+/** Machine, session, attempt and task ranges of tasks that count as being there. */
+export type StoredPlacement = [machine: string, session: number, attempt: number, tasks: string];
+
+export interface StoredJob {
+  /** The submission as it was accepted. */
+  readonly j: JobSpec;
+  /** Time of day of the submission, in milliseconds. */
+  readonly at: number;
+  /** Residuals of the pipeline's dependencies. */
+  readonly r: readonly string[];
+  /** Counts the changes of this value. */
+  readonly v: number;
+  /** Next attempt number. */
+  readonly n: number;
+  /** Term whose holder owns the job; 0 before its start is accepted. */
+  readonly o: number;
+  /** Tasks done. */
+  readonly done: string;
+  readonly pl: readonly StoredPlacement[];
+}
+
+export interface StoredFinal {
+  readonly s: "done" | "cancelled";
+  readonly n: number;
+}
+export interface StoredMachine {
+  readonly a: string;
+  readonly t: string;
+  readonly z: string;
+  readonly s: boolean;
+}
+export interface StoredLead {
+  readonly member: string;
+  readonly epoch: number;
+  readonly lease: number;
+}
+
+export interface Marked<V> {
+  readonly value: V;
+  readonly mark: number;
+}
+
+/** What a batch of changes touched, so that the term holder need not look at everything. */
+export interface Touched {
+  readonly jobs: Set<string>;
+  lead: boolean;
+}
+
+export class Records {
+  readonly live = new Map<string, Marked<StoredJob>>();
+  readonly finals = new Map<string, StoredFinal>();
+  readonly cancels = new Set<string>();
+  readonly machines = new Map<string, Marked<StoredMachine>>();
+  lead: Marked<StoredLead> | null = null;
+  types: readonly MachineType[] | null = null;
+  epoch: Marked<{ n: number }> = { value: { n: 0 }, mark: 0 };
+  /** Every change up to this revision is in. */
+  ledger = -1;
+
+  /** Starts afresh from a full read. `ledger` is the revision before the first page. */
+  reset(items: readonly Item[], ledger: number): void {
+    this.live.clear();
+    this.finals.clear();
+    this.cancels.clear();
+    this.machines.clear();
+    this.lead = null;
+    this.epoch = { value: { n: 0 }, mark: 0 };
+    for (const i of items) this.put(i.key, i.value, i.mark);
+    this.ledger = ledger;
+  }
+
+  /** Applies what following returned; changes that are in already are passed over. */
+  apply(events: readonly Event[], ledger: number): Touched {
+    const touched: Touched = { jobs: new Set(), lead: false };
+    for (const e of events) {
+      if (e.mark <= this.ledger) continue;
+      if (e.removed) this.remove(e.key);
+      else this.put(e.key, e.value, e.mark);
+      const kind = e.key.slice(0, 2);
+      if (kind === "p/" || kind === "x/" || kind === "d/") touched.jobs.add(e.key.slice(2));
+      else if (e.key === KEY.lead || e.key === KEY.epoch) touched.lead = true;
+    }
+    if (ledger > this.ledger) this.ledger = ledger;
+    return touched;
+  }
+
+  private put(key: string, value: unknown, mark: number): void {
+    const name = key.slice(2);
+    if (key.startsWith("p/")) this.live.set(name, { value: value as StoredJob, mark });
+    else if (key.startsWith("d/")) this.finals.set(name, value as StoredFinal);
+    else if (key.startsWith("x/")) this.cancels.add(name);
+    else if (key.startsWith("m/")) this.machines.set(name, { value: value as StoredMachine, mark });
+    else if (key === KEY.lead) this.lead = { value: value as StoredLead, mark };
+    else if (key === KEY.types) this.types = value as MachineType[];
+    else if (key === KEY.epoch) this.epoch = { value: value as { n: number }, mark };
+  }
+
+  private remove(key: string): void {
+    const name = key.slice(2);
+    if (key.startsWith("p/")) this.live.delete(name);
+    else if (key.startsWith("d/")) this.finals.delete(name);
+    else if (key.startsWith("x/")) this.cancels.delete(name);
+    else if (key.startsWith("m/")) this.machines.delete(name);
+    else if (key === KEY.lead) this.lead = null;
+  }
+
+  /** What a user is told of a job, or null if no such job was ever accepted. */
+  view(id: string): JobView | null {
+    const final = this.finals.get(id);
+    if (final !== undefined) {
+      return { id, state: final.s, done: final.s === "done" ? final.n : 0, running: 0 };
+    }
+    const live = this.live.get(id);
+    if (live === undefined) return null;
+    const done = Ranges.parse(live.value.done).size;
+    if (this.cancels.has(id)) return { id, state: "cancelled", done, running: 0 };
+    let running = 0;
+    for (const p of live.value.pl) running += Ranges.parse(p[3]).size;
+    return { id, state: running > 0 ? "running" : "queued", done, running };
+  }
+}
--- /dev/null
+++ b/src/core/renting.ts
@@ -0,0 +1,164 @@
+/** Which machines to rent, ahead of need and for what waits, and which to give back. */
+import { type Cluster, type LiveJob, type Machine, slots } from "./cluster.js";
+import type { ClusterSettings, JobSpec, MachineType } from "./model.js";
+import { typeAllowed } from "./planner.js";
+
+export interface Rental {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+  readonly why: string;
+}
+
+/** The shape of a class of jobs, as last seen, and how much of it runs. */
+export interface Shape {
+  readonly spec: JobSpec;
+  running: number;
+}
+
+export interface RentContext {
+  readonly cluster: Cluster;
+  readonly settings: ClusterSettings;
+  readonly types: readonly MachineType[];
+  readonly now: number;
+  /** Kinds refused for lack of capacity, and until when not to ask again. */
+  readonly refused: ReadonlyMap<string, number>;
+  /** Free room to keep for each class, as a ratio to what it uses. */
+  readonly spare: number;
+  readonly maxMachines: number;
+}
+
+export const offerKey = (type: string, zone: string, spot: boolean): string =>
+  `${type} ${zone} ${spot ? "spot" : "ordinary"}`;
+
+function willTake(m: Machine): boolean {
+  return (m.state === "booting" || m.state === "up") && m.drain === null && m.takenAt === null;
+}
+
+/** Free room for a shape on machines that are up or coming up. */
+export function freeSlots(cluster: Cluster, spec: JobSpec): number {
+  let n = 0;
+  for (const m of cluster.machines.values()) {
+    if (!willTake(m) || !typeAllowed(spec, m.type.name, m.zone, m.spot)) continue;
+    n += slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
+  }
+  return n;
+}
+
+/** The offer that serves the shape at the least price for each task, among those not refused. */
+function offer(
+  spec: JobSpec,
+  want: number,
+  ctx: RentContext,
+): { type: MachineType; zone: string; spot: boolean; perMachine: number } | null {
+  let best: { type: MachineType; zone: string; spot: boolean; perMachine: number } | null = null;
+  let bestCost = Infinity;
+  const inZone = new Map<string, number>();
+  for (const m of ctx.cluster.machines.values()) {
+    inZone.set(m.zone, (inZone.get(m.zone) ?? 0) + 1);
+  }
+  for (const type of ctx.types) {
+    const perMachine = slots(spec, type.cpus, type.gpus, type.memoryGb);
+    if (perMachine < 1) continue;
+    for (const zone of type.zones) {
+      for (const spot of spec.spot ? [true, false] : [false]) {
+        if (!typeAllowed(spec, type.name, zone, spot)) continue;
+        const until = ctx.refused.get(offerKey(type.name, zone, spot));
+        if (until !== undefined && until > ctx.now) continue;
+        // Work without GPUs takes GPU machines only as a last resort.
+        const gpuWaste = type.gpus > 0 && spec.gpus === 0 ? 100 : 1;
+        const price = spot ? type.spotPrice : type.price;
+        // Zones with fewer machines first, by a little.
+        const cost =
+          (gpuWaste * price) / Math.min(perMachine, Math.max(want, 1)) +
+          1e-4 * (inZone.get(zone) ?? 0);
+        if (cost < bestCost) {
+          best = { type, zone, spot, perMachine };
+          bestCost = cost;
+        }
+      }
+    }
+  }
+  return best;
+}
+
+/** At most one rental a call: the cloud takes few requests, and each answer changes the view. */
+export function wanted(
+  ctx: RentContext,
+  waiting: readonly LiveJob[],
+  shapes: Iterable<Shape>,
+): Rental | null {
+  if (ctx.cluster.machines.size >= ctx.maxMachines) return null;
+  const booting = bootingRoom(ctx.cluster);
+  for (const job of waiting) {
+    const need = Math.min(
+      job.pendingCount,
+      job.spec.kind === "gang" ? job.spec.tasks : ctx.cluster.quotaSlots(job.spec),
+    );
+    if (need <= 0) continue;
+    const coming = booting(job.spec, need);
+    if (coming >= need) continue;
+    const r = rental(job.spec, need - coming, `${job.spec.id} waits for room`, ctx);
+    if (r !== null) return r;
+  }
+  for (const shape of shapes) {
+    const keep = Math.max(1, Math.ceil(ctx.spare * shape.running));
+    const free = freeSlots(ctx.cluster, shape.spec);
+    if (free >= keep) continue;
+    const r = rental(shape.spec, keep - free, `spare room for ${shape.spec.class}`, ctx);
+    if (r !== null) return r;
+  }
+  return null;
+}
+
+function rental(spec: JobSpec, want: number, why: string, ctx: RentContext): Rental | null {
+  const o = offer(spec, want, ctx);
+  if (o === null) return null;
+  const count = Math.min(
+    Math.ceil(want / o.perMachine),
+    ctx.maxMachines - ctx.cluster.machines.size,
+    50,
+  );
+  return count <= 0 ? null : { type: o.type.name, zone: o.zone, spot: o.spot, count, why };
+}
+
+/** Room on machines that are coming up, handed out once to each asker in turn. */
+function bootingRoom(cluster: Cluster): (spec: JobSpec, need: number) => number {
+  const left = new Map<Machine, { cpus: number; gpus: number; memory: number }>();
+  for (const m of cluster.machines.values()) {
+    if (m.state === "booting") {
+      left.set(m, { cpus: m.type.cpus, gpus: m.type.gpus, memory: m.type.memoryGb });
+    }
+  }
+  return (spec, need) => {
+    let got = 0;
+    for (const [m, room] of left) {
+      if (got >= need) break;
+      if (!typeAllowed(spec, m.type.name, m.zone, m.spot)) continue;
+      const n = Math.min(need - got, slots(spec, room.cpus, room.gpus, room.memory));
+      if (n <= 0) continue;
+      got += n;
+      room.cpus -= n * spec.cpus;
+      room.gpus -= n * spec.gpus;
+      room.memory -= n * spec.memoryGb;
+    }
+    return got;
+  };
+}
+
+/** Machines that stand idle although there is more than enough room for every class. */
+export function surplus(ctx: RentContext, shapes: readonly Shape[], idleS: number): Machine[] {
+  const out: Machine[] = [];
+  for (const m of ctx.cluster.machines.values()) {
+    if (m.state !== "up" || m.placements.size > 0 || ctx.now - m.idleSince < idleS) continue;
+    const needed = shapes.some((s) => {
+      if (!typeAllowed(s.spec, m.type.name, m.zone, m.spot)) return false;
+      const here = slots(s.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
+      const keep = Math.max(1, Math.ceil(ctx.spare * s.running));
+      return here > 0 && freeSlots(ctx.cluster, s.spec) - here < keep;
+    });
+    if (!needed) out.push(m);
+  }
+  return out.slice(0, 1);
+}
--- /dev/null
+++ b/src/core/scheduler.ts
@@ -0,0 +1,1116 @@
+/**
+ * The term holder: one state machine for pipelines, machines, quota and commands.
+ *
+ * It takes inputs (changed records, reports, answers, the passing of time) and returns what to
+ * send. It has no clock, socket or randomness of its own. What it wants written is asked for with
+ * `nextWrite`, because how much may be written at a time is limited outside.
+ */
+import type { Change, Condition } from "../wire/state.js";
+import { Cluster, type EndedTask, LiveJob, Machine, Placement, slots, taskKey } from "./cluster.js";
+import {
+  CLOCK_DRIFT,
+  type ClusterSettings,
+  type Command,
+  type JobSpec,
+  type ListedMachine,
+  type MachineType,
+  type Report,
+  type TaskReport,
+} from "./model.js";
+import { acceptable, eventName, occur } from "./pipeline.js";
+import { type GpuShape, makeRoom, type PlanContext, plan, rankOf, typeAllowed } from "./planner.js";
+import { KEY, type Records, type StoredFinal, type StoredMachine } from "./records.js";
+import { freeSlots, offerKey, type RentContext, type Shape, surplus, wanted } from "./renting.js";
+
+export type Output =
+  | {
+      readonly kind: "send";
+      readonly machine: string;
+      readonly address: string;
+      readonly session: number;
+      readonly commands: readonly Command[];
+    }
+  | { readonly kind: "show"; readonly machine: string; readonly address: string }
+  | {
+      readonly kind: "rent";
+      readonly name: string;
+      readonly type: string;
+      readonly zone: string;
+      readonly spot: boolean;
+      readonly count: number;
+    }
+  | { readonly kind: "return"; readonly machines: readonly string[] }
+  | { readonly kind: "list" }
+  | { readonly kind: "bump" }
+  | { readonly kind: "resign"; readonly why: string }
+  | {
+      readonly kind: "log";
+      readonly message: string;
+      readonly fields: Record<string, unknown>;
+    };
+
+export type SendOutcome =
+  | { readonly kind: "answer"; readonly executed: boolean; readonly report: Report }
+  | { readonly kind: "lost"; readonly sent: boolean };
+
+export type WriteOutcome = "ok" | "conflict" | "unknown" | "refused";
+
+export interface Write {
+  readonly conditions: Condition[];
+  readonly changes: Change[];
+  /** Jobs in it, with the version that becomes the stored one; null: the final record. */
+  readonly jobs: { readonly job: LiveJob; readonly version: number | null }[];
+  readonly machines: { readonly name: string; readonly present: boolean }[];
+}
+
+export interface SchedulerOptions {
+  readonly spare: number;
+  readonly maxMachines: number;
+  readonly idleReturnS: number;
+  /** Seconds for which a former holder may still have answered reports after its term. */
+  readonly graceS: number;
+}
+
+export class Scheduler {
+  readonly cluster: Cluster;
+  private readonly shapes = new Map<string, Shape>();
+  private readonly refused = new Map<string, number>();
+  private types = new Map<string, MachineType>();
+  private gone = new Set<string>();
+  private listed = new Map<string, number>();
+  private out: Output[] = [];
+  private needPlan = true;
+  private plannedAt = Number.NEGATIVE_INFINITY;
+  private rentedAt = Number.NEGATIVE_INFINITY;
+  private listedAt = Number.NEGATIVE_INFINITY;
+  private listing = false;
+  private renting = 0;
+  private rentals = 0;
+  private cloudAfter = Number.NEGATIVE_INFINITY;
+  private readonly pendingReturns = new Map<string, string>();
+  private returning = 0;
+  private machineRecords = new Map<string, boolean>();
+  private bumping = false;
+  private bumpedAt: number;
+  private gpuShape: GpuShape | null = null;
+  /** Set while a write is out whose result is not known: nothing else may be written. */
+  private writing = false;
+
+  constructor(
+    private readonly settings: ClusterSettings,
+    private readonly options: SchedulerOptions,
+    private epoch: number,
+    private epochMark: number,
+    private readonly startedAt: number,
+  ) {
+    this.cluster = new Cluster(settings.teams);
+    this.bumpedAt = startedAt;
+  }
+
+  // ---------------------------------------------------------------- inputs
+
+  /** Everything stored, as of taking the term. */
+  load(records: Records, now: number): Output[] {
+    for (const [name, m] of records.machines) {
+      const machine = this.machine(name, m.value.t, m.value.z, m.value.s, now);
+      if (machine === null) continue;
+      machine.address = m.value.a;
+      machine.stored = true;
+      machine.state = "up";
+      this.firstContact(machine);
+    }
+    for (const id of records.live.keys()) this.recordChanged(records, id, now);
+    return this.flush(now);
+  }
+
+  private firstContact(m: Machine): void {
+    // Until it is heard, count as if the former holder had renewed its lease as late as it may.
+    m.lastHeard = this.startedAt;
+    m.lastRenewed = this.startedAt + this.options.graceS;
+  }
+
+  setTypes(types: readonly MachineType[]): void {
+    this.types = new Map(types.map((t) => [t.name, t]));
+    this.needPlan = true;
+  }
+  get typesKnown(): boolean {
+    return this.types.size > 0;
+  }
+
+  /** Some job's keys changed (or were read again after a doubtful write). */
+  recordChanged(records: Records, id: string, now: number): void {
+    const stored = records.live.get(id);
+    let job = this.cluster.jobs.get(id);
+    if (stored === undefined) {
+      if (job !== undefined && records.finals.has(id)) this.forgetJob(job, now);
+      return;
+    }
+    if (job === undefined) {
+      job = new LiveJob(stored.value, stored.mark);
+      job.size = JSON.stringify(stored.value).length;
+      this.cluster.jobs.set(id, job);
+      this.adopt(job, stored.value.pl, now);
+      this.noteShape(job.spec);
+      this.needPlan = true;
+    } else if (stored.mark > job.mark) {
+      job.mark = stored.mark;
+      if (stored.value.v > job.savedVersion) job.savedVersion = stored.value.v;
+    }
+    if (records.cancels.has(id) && !job.cancelled) this.cancel(job, now);
+  }
+
+  private adopt(
+    job: LiveJob,
+    stored: readonly (readonly [string, number, number, string])[],
+    now: number,
+  ) {
+    for (const [name, session, attempt, tasks] of stored) {
+      let m = this.cluster.machines.get(name);
+      if (m === undefined) {
+        // No record of the machine: a stand-in that counts until the cloud says it is gone.
+        const type = [...this.types.values()][0];
+        if (type === undefined) throw new Error("machine types unknown");
+        m = new Machine(name, type, "", false, now);
+        m.state = "up";
+        this.firstContact(m);
+        this.cluster.machines.set(name, m);
+        this.askReturn(m, "no record of it");
+      }
+      for (const task of rangesOf(tasks)) {
+        const p = new Placement(job, task, attempt, m, session, 0, now);
+        p.state = "loaded";
+        this.cluster.add(p);
+        if (session > m.session) m.session = session;
+      }
+    }
+  }
+
+  private noteShape(spec: JobSpec): void {
+    const s = this.shapes.get(spec.class);
+    if (s === undefined) this.shapes.set(spec.class, { spec, running: 0 });
+    else this.shapes.set(spec.class, { spec, running: s.running });
+    if (spec.gpus > 0) {
+      const cpus = spec.cpus / spec.gpus;
+      const memoryGb = spec.memoryGb / spec.gpus;
+      this.gpuShape = {
+        cpus: Math.max(cpus, this.gpuShape?.cpus ?? 0),
+        memoryGb: Math.max(memoryGb, this.gpuShape?.memoryGb ?? 0),
+      };
+    }
+  }
+
+  private cancel(job: LiveJob, now: number): void {
+    job.cancelled = true;
+    job.dependencies = occur(job.dependencies, eventName("failed", job.spec.id));
+    job.touch();
+    for (const p of [...job.everyPlacement()]) this.stop(p, "cancelled", 0);
+    this.log("cancel", { job: job.spec.id, tasks: job.present });
+    this.needPlan = true;
+    for (const m of new Set([...job.everyPlacement()].map((p) => p.machine))) this.pump(m, now);
+  }
+
+  private forgetJob(job: LiveJob, now: number): void {
+    for (const p of [...job.everyPlacement()]) this.cluster.release(p, now);
+    this.cluster.jobs.delete(job.spec.id);
+    this.needPlan = true;
+  }
+
+  /** A worker's report came in and is answered with these commands. */
+  report(r: Report, now: number): { commands: Command[]; outputs: Output[] } {
+    const m = this.hear(r, now);
+    if (m === null) return { commands: [], outputs: this.flush(now) };
+    m.lastRenewed = Math.max(m.lastRenewed, now);
+    // Stops and forgets can be repeated; starts go only where their fate can be known.
+    const commands = m.fenced ? this.commandsFor(m, now, false) : [];
+    return { commands, outputs: this.flush(now) };
+  }
+
+  /** The former holder, while it may not act, answered a report without commands. */
+  renewedWithout(r: Report, now: number): void {
+    const m = this.cluster.machines.get(r.machine);
+    if (m === undefined) return;
+    m.lastRenewed = Math.max(m.lastRenewed, now);
+    m.lastHeard = Math.max(m.lastHeard, now);
+  }
+
+  addresses(): Set<string> {
+    return new Set([...this.cluster.machines.values()].map((m) => m.address));
+  }
+
+  /** A direct command was answered, or not. */
+  sent(machine: string, commands: readonly Command[], outcome: SendOutcome, now: number): Output[] {
+    const m = this.cluster.machines.get(machine);
+    if (m === undefined) return [];
+    m.busy = false;
+    for (const c of commands) {
+      if (c.op !== "start") continue;
+      const key = taskKey(c.job, c.task, c.attempt);
+      const p = m.placements.get(key);
+      if (p !== undefined) p.inFlight--;
+      if (outcome.kind === "lost") {
+        if (outcome.sent) m.doubts.set(key, this.epoch);
+        else if (p !== undefined && p.state === "sent") p.state = "planned";
+      } else if (!outcome.executed && p !== undefined && p.state === "sent") p.state = "planned";
+    }
+    if (outcome.kind === "lost") m.directAfter = now + this.settings.reportS / 3;
+    else this.hear(outcome.report, now);
+    this.pump(m, now);
+    return this.flush(now);
+  }
+
+  shown(machine: string, report: Report | null, now: number): Output[] {
+    const m = this.cluster.machines.get(machine);
+    if (m === undefined) return [];
+    m.busy = false;
+    if (report === null) m.directAfter = now + this.settings.reportS / 3;
+    else this.hear(report, now);
+    return this.flush(now);
+  }
+
+  private machine(
+    name: string,
+    type: string,
+    zone: string,
+    spot: boolean,
+    now: number,
+  ): Machine | null {
+    const known = this.cluster.machines.get(name);
+    if (known !== undefined) return known;
+    const t = this.types.get(type);
+    if (t === undefined) return null;
+    const m = new Machine(name, t, zone, spot, now);
+    this.cluster.machines.set(name, m);
+    return m;
+  }
+
+  /** Takes in a report, however it came. */
+  private hear(r: Report, now: number): Machine | null {
+    if (this.gone.has(r.machine)) return null;
+    if (r.token > this.epoch) {
+      this.out.push({ kind: "resign", why: `machine ${r.machine} has seen a higher token` });
+      return null;
+    }
+    const m = this.machine(r.machine, r.type, r.zone, r.spot, now);
+    if (m === null) return null;
+    if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return m;
+    if (m.state === "booting") {
+      m.state = "up";
+      m.idleSince = now;
+      this.needPlan = true;
+      this.log("machine up", { machine: m.name, type: m.type.name, zone: m.zone, spot: m.spot });
+    }
+    m.address = r.address;
+    if (!m.stored && !this.machineRecords.has(m.name)) this.machineRecords.set(m.name, true);
+    if (now - m.lastHeard > 1.5 * this.settings.reportS) this.needPlan = true;
+    m.lastHeard = now;
+    // A session begins no later than its first report; a former holder may renew for a while yet.
+    m.lastRenewed = Math.max(m.lastRenewed, now, this.startedAt + this.options.graceS);
+    if (r.session > m.session) {
+      // The lease ran out: the worker killed and forgot all its tasks, and starts sent to an
+      // earlier session are refused from now on.
+      for (const p of [...m.placements.values()]) {
+        if (p.session < r.session) this.lost(p, "new session", now);
+      }
+      m.session = r.session;
+      m.doubts.clear();
+      m.ended.clear();
+      m.seq = -1;
+    }
+    m.seq = r.seq;
+    this.notice(m, r.noticeS, now);
+    const fenced = r.token === this.epoch;
+    if (fenced && !m.fenced) {
+      this.needPlan = true;
+      for (const [key, epoch] of m.doubts) if (epoch < this.epoch) m.doubts.delete(key);
+    }
+    m.fenced = fenced;
+    if (fenced) this.reconcile(m, r, now);
+    this.pump(m, now);
+    return m;
+  }
+
+  private notice(m: Machine, noticeS: number | null, now: number): void {
+    if (noticeS === null || m.takenAt !== null) return;
+    m.takenAt = now + noticeS;
+    this.log("taken back soon", { machine: m.name, inS: noticeS, tasks: m.placements.size });
+    for (const p of m.placements.values()) {
+      const { estimateS, saveS, checkpointS } = p.job.spec;
+      const left = estimateS - (p.state === "running" ? now - p.runningSince : 0);
+      // Work that cannot be saved stays if it may still end in time.
+      if (checkpointS === 0 && p.job.spec.kind === "array" && left > 0 && left < noticeS) continue;
+      this.stopWithMates(p, "machine is taken back", saveS);
+    }
+    this.needPlan = true;
+  }
+
+  /** Compares what a fenced worker says with what was placed on it. */
+  private reconcile(m: Machine, r: Report, now: number): void {
+    const seen = new Set<string>();
+    for (const t of r.tasks) {
+      const key = taskKey(t.job, t.task, t.attempt);
+      seen.add(key);
+      const p = m.placements.get(key);
+      if (t.state === "exited") this.exited(m, t, p, now);
+      else if (p !== undefined) this.progressed(p, t, now);
+      else this.stray(m, t, now);
+    }
+    for (const p of [...m.placements.values()]) {
+      if (seen.has(p.key) || p.inFlight > 0 || p.session !== m.session) continue;
+      if (p.state === "loaded") {
+        // Starts of former holders are dropped here by now, so it never came.
+        p.state = "planned";
+      } else if (p.state === "sent") {
+        if (!m.doubts.has(p.key)) p.state = "planned";
+      } else if (p.state !== "planned") this.lost(p, "no longer on its machine", now);
+    }
+    for (const key of [...m.ended.keys()]) if (!seen.has(key)) m.ended.delete(key);
+  }
+
+  private progressed(p: Placement, t: TaskReport, now: number): void {
+    if (t.state === "exited" || p.state === t.state) return;
+    const image = p.machine.images.get(p.job.spec.image);
+    if (t.state !== "fetching") {
+      if (image !== undefined) {
+        image.ready = true;
+        image.at = now;
+      } else {
+        p.machine.images.set(p.job.spec.image, { at: now, gb: p.job.spec.imageGb, ready: true });
+      }
+      this.trimImages(p.machine);
+    }
+    if (t.state === "running") p.runningSince = now;
+    p.state = t.state;
+    p.since = now;
+  }
+
+  /** Machines keep the most recently used images; what no longer fits is thought gone. */
+  private trimImages(m: Machine): void {
+    const used = new Set([...m.placements.values()].map((p) => p.job.spec.image));
+    let sum = 0;
+    for (const [name, i] of [...m.images].sort((a, b) => b[1].at - a[1].at)) {
+      sum += i.gb;
+      if (sum > m.type.cacheGb && !used.has(name)) m.images.delete(name);
+    }
+  }
+
+  private exited(m: Machine, t: TaskReport, p: Placement | undefined, now: number): void {
+    const key = taskKey(t.job, t.task, t.attempt);
+    if (m.ended.has(key)) return;
+    const job = this.cluster.jobs.get(t.job);
+    if (p !== undefined) {
+      if (t.cause === "done") {
+        p.machine.images.set(p.job.spec.image, { at: now, gb: p.job.spec.imageGb, ready: true });
+      }
+      this.release(p, now);
+      this.afterExit(p, t, now);
+    }
+    if (job !== undefined && t.cause === "done") this.taskDone(job, t.task, now);
+    m.ended.set(key, {
+      job: t.job,
+      task: t.task,
+      attempt: t.attempt,
+      version: job?.version ?? 0,
+    });
+  }
+
+  private taskDone(job: LiveJob, task: number, now: number): void {
+    if (job.spec.kind === "service" || task >= job.spec.tasks) return;
+    job.anyDone = true;
+    // The tasks of a gang complete together: if one is done, all are.
+    const tasks = job.spec.kind === "gang" ? range(job.spec.tasks) : [task];
+    for (const t of tasks) {
+      if (!job.done.add(t)) continue;
+      job.touch();
+      const other = job.placements.get(t);
+      if (other !== undefined && job.spec.kind !== "gang") this.stop(other, "already done", 0);
+    }
+    if (job.complete) this.log("all tasks done", { job: job.spec.id, tasks: job.spec.tasks });
+    this.needPlan = true;
+    void now;
+  }
+
+  private afterExit(p: Placement, t: TaskReport, now: number): void {
+    const job = p.job;
+    this.log("task ended", {
+      task: `${job.spec.id}/${p.task}`,
+      attempt: p.attempt,
+      machine: p.machine.name,
+      why: t.cause,
+      saved: t.saved,
+    });
+    if (t.cause === "error") {
+      job.errors++;
+      job.errorMachines.add(p.machine.name);
+      const usual = this.settings.reportS;
+      job.backoffUntil = now + Math.min(10 * usual, usual * 2 ** Math.min(job.errors - 1, 5));
+      if (job.errorMachines.size > 3 && !job.anyDone) {
+        // It fails wherever it goes: the job is at fault. Go on trying, anywhere.
+        for (const name of job.errorMachines) {
+          this.cluster.machines.get(name)?.failedJobs.delete(job.spec.id);
+        }
+        job.errorMachines.clear();
+      } else p.machine.failedJobs.add(job.spec.id);
+      if (p.machine.failedJobs.size >= 2 && p.machine.drain === null) {
+        this.drain(p.machine, "different jobs fail on it", now);
+      }
+    } else if (t.cause === "no_room" || t.cause === "busy") {
+      p.machine.refusedUntil = now + this.settings.reportS;
+    } else if (t.cause === "unknown") {
+      job.backoffUntil = now + this.settings.reportS;
+    }
+    if (job.spec.kind === "gang" && t.cause !== "done") this.regroup(job, "a gang task ended");
+  }
+
+  /** A gang that lost a task starts again as a whole once all its tasks are gone. */
+  private regroup(job: LiveJob, why: string): void {
+    if (job.complete) return;
+    for (const p of job.placements.values()) this.stop(p, why, job.spec.saveS);
+  }
+
+  private stop(p: Placement, why: string, graceS: number): void {
+    if (p.stop !== null && p.stop.graceS <= graceS) return;
+    p.stop = { why, graceS, sentAt: Number.NEGATIVE_INFINITY };
+    this.log("stop", {
+      task: `${p.job.spec.id}/${p.task}`,
+      attempt: p.attempt,
+      machine: p.machine.name,
+      why,
+    });
+  }
+
+  /** A gang is stopped in order: all its tasks at once, with the time to save. */
+  private stopWithMates(p: Placement, why: string, graceS: number): void {
+    const all = p.job.spec.kind === "gang" ? [...p.job.placements.values()] : [p];
+    for (const q of all) this.stop(q, why, graceS);
+  }
+
+  private release(p: Placement, now: number): void {
+    this.cluster.release(p, now);
+    this.needPlan = true;
+  }
+
+  /** The attempt went with its machine or session. */
+  private lost(p: Placement, why: string, now: number): void {
+    this.log("task lost", {
+      task: `${p.job.spec.id}/${p.task}`,
+      attempt: p.attempt,
+      machine: p.machine.name,
+      why,
+    });
+    this.release(p, now);
+    if (p.job.spec.kind === "gang") this.regroup(p.job, "a gang task was lost");
+  }
+
+  /** A task runs that our records do not hold: it counts while it is there, and is stopped. */
+  private stray(m: Machine, t: TaskReport, now: number): void {
+    const job = this.cluster.jobs.get(t.job);
+    const key = taskKey(t.job, t.task, t.attempt);
+    this.log("stray task", { task: `${t.job}/${t.task}`, attempt: t.attempt, machine: m.name });
+    if (job === undefined) {
+      // Its job is over, so stop it outright; nothing else can be booked for it.
+      this.orphans.push({ machine: m.name, job: t.job, task: t.task, attempt: t.attempt });
+      return;
+    }
+    const p = new Placement(job, t.task, t.attempt, m, m.session, 0, now);
+    p.state = t.state === "exited" ? "running" : t.state;
+    this.cluster.add(p, true);
+    this.stop(p, "not in the records", 0);
+    void key;
+  }
+  private orphans: { machine: string; job: string; task: number; attempt: number }[] = [];
+
+  private drain(m: Machine, why: string, _now: number): void {
+    m.drain = why;
+    this.log("drain", { machine: m.name, why });
+    for (const p of m.placements.values()) this.stopWithMates(p, why, p.job.spec.saveS);
+  }
+
+  // ---------------------------------------------------------------- commands
+
+  private commandsFor(m: Machine, now: number, withStarts: boolean): Command[] {
+    const out: Command[] = [];
+    for (const p of [...m.placements.values()]) {
+      const at = { job: p.job.spec.id, task: p.task, attempt: p.attempt };
+      if (p.stop !== null) {
+        if (p.state === "planned" && p.inFlight === 0 && !m.doubts.has(p.key)) {
+          // Never sent under this token, and the worker does not know it: it is not there.
+          if (m.fenced && p.session === m.session) this.release(p, now);
+          continue;
+        }
+        if (p.state === "loaded" || p.state === "planned") continue;
+        // A second stop would cut a save short, unless that is meant.
+        if (p.state === "saving" && p.stop.graceS > 0) continue;
+        if (now - p.stop.sentAt < this.settings.reportS / 6) continue;
+        p.stop.sentAt = now;
+        out.push({ op: "stop", ...at, graceS: p.stop.graceS });
+      } else if (withStarts && this.mayStart(p, m, now)) {
+        p.state = "sent";
+        p.sentAt = now;
+        p.inFlight++;
+        out.push({ op: "start", ...at });
+      }
+    }
+    for (const o of this.orphans) {
+      if (o.machine === m.name) {
+        out.push({ op: "stop", job: o.job, task: o.task, attempt: o.attempt, graceS: 0 });
+      }
+    }
+    this.orphans = this.orphans.filter((o) => o.machine !== m.name);
+    for (const [key, e] of m.ended) if (this.mayForget(m, key, e)) out.push(forgetOf(e));
+    return out;
+  }
+
+  private mayStart(p: Placement, m: Machine, now: number): boolean {
+    if (p.job.cancelled || p.job.savedVersion < p.version) return false;
+    if (!m.fenced || p.session !== m.session) return false;
+    if (p.state === "planned") return true;
+    // Repeating a start whose fate is unknown does no harm: it is the same attempt.
+    return (
+      p.state === "sent" &&
+      p.inFlight === 0 &&
+      m.doubts.has(p.key) &&
+      now - p.sentAt > this.settings.reportS / 2
+    );
+  }
+
+  /**
+   * A forgotten attempt could be started again by a late copy of its start. So its end must be
+   * stored, and no start of it may be unanswered under the present token.
+   */
+  private mayForget(m: Machine, key: string, e: EndedTask): boolean {
+    if (m.doubts.has(key)) return false;
+    const job = this.cluster.jobs.get(e.job);
+    return job === undefined || job.savedVersion >= e.version;
+  }
+
+  /** Sends a machine what is due to it, one direct request at a time. */
+  private pump(m: Machine, now: number): void {
+    if (m.busy || m.address === "" || m.state !== "up" || now < m.directAfter) return;
+    if (!m.fenced) {
+      m.busy = true;
+      this.out.push({
+        kind: "send",
+        machine: m.name,
+        address: m.address,
+        session: Math.max(m.session, 1),
+        commands: [],
+      });
+      return;
+    }
+    const commands = this.commandsFor(m, now, true).slice(0, 400);
+    if (commands.length === 0) return;
+    m.busy = true;
+    this.out.push({
+      kind: "send",
+      machine: m.name,
+      address: m.address,
+      session: m.session,
+      commands,
+    });
+  }
+
+  // ---------------------------------------------------------------- time
+
+  tick(now: number, wallMs: number): Output[] {
+    this.watchMachines(now);
+    this.checkDoubts(now);
+    if (this.typesKnown && (this.needPlan || now - this.plannedAt > this.settings.reportS / 3)) {
+      this.replan(now, wallMs);
+    }
+    this.cloudWork(now);
+    for (const m of this.cluster.machines.values()) this.pump(m, now);
+    return this.flush(now);
+  }
+
+  private valueBytes(): number {
+    return this.settings.valueKb * 1024;
+  }
+
+  private context(now: number, wallMs: number): PlanContext {
+    return {
+      cluster: this.cluster,
+      settings: this.settings,
+      now,
+      wallMs,
+      valueBytes: this.valueBytes(),
+      log: (message, fields) => this.log(message, fields),
+    };
+  }
+
+  private waiting: LiveJob[] = [];
+
+  private replan(now: number, wallMs: number): void {
+    this.needPlan = false;
+    this.plannedAt = now;
+    const ctx = this.context(now, wallMs);
+    const within = this.cluster.withinGuarantee();
+    for (const m of this.cluster.machines.values()) {
+      if (m.reservedFor === null) continue;
+      const job = this.cluster.jobs.get(m.reservedFor.job);
+      if (job === undefined || job.pendingCount === 0 || now > m.reservedFor.until) {
+        m.reservedFor = null;
+      }
+    }
+    this.waiting = plan(ctx, within, this.gpuShape, (job) => this.acceptStart(job));
+    for (const job of this.waiting) this.preempt(job, ctx, within);
+  }
+
+  /** The algebra decides whether the start is accepted; the write that holds it makes it so. */
+  private acceptStart(job: LiveJob): boolean {
+    if (job.started) return true;
+    const start = eventName("start", job.spec.id);
+    if (!acceptable(job.dependencies, start)) return false;
+    job.dependencies = occur(job.dependencies, start);
+    job.owner = this.epoch;
+    job.started = true;
+    job.touch();
+    return true;
+  }
+
+  private preempt(job: LiveJob, ctx: PlanContext, within: ReadonlySet<string>): void {
+    const rank = rankOf(job.spec.priority);
+    if (rank > 1 && !within.has(job.spec.id)) return;
+    let need = job.pendingCount;
+    if (job.spec.kind === "gang" && job.present > 0) return;
+    for (const m of this.cluster.machines.values()) {
+      if (m.reservedFor?.job === job.spec.id) {
+        need -= slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
+      }
+    }
+    for (let i = 0; need > 0 && i < 8; i++) {
+      const found = makeRoom(job, ctx, within);
+      if (found === null || found.machine.reservedFor !== null) return;
+      found.machine.reservedFor = {
+        job: job.spec.id,
+        until: ctx.now + this.settings.gangPeerS + 2 * this.settings.reportS,
+      };
+      for (const v of found.victims) {
+        this.stopWithMates(v, `room for ${job.spec.id}`, v.job.spec.saveS);
+      }
+      this.pump(found.machine, ctx.now);
+      need -= Math.max(
+        1,
+        slots(job.spec, found.machine.freeCpus, found.machine.freeGpus, found.machine.freeMemory),
+      );
+    }
+  }
+
+  /** Silent machines: look, then give them up to the cloud, or wait their lease out. */
+  private watchMachines(now: number): void {
+    const { reportS, leaseS } = this.settings;
+    const up = [...this.cluster.machines.values()].filter(
+      (m) => m.state === "up" || m.state === "returning",
+    );
+    const silent = up.filter((m) => now - m.lastHeard > 2 * reportS);
+    // When many fall silent at once it is more likely us than them.
+    const believable = silent.length <= Math.max(2, up.length / 4);
+    for (const m of up) {
+      const quiet = now - m.lastHeard;
+      if (
+        m.state === "up" &&
+        quiet > 1.4 * reportS &&
+        !m.busy &&
+        now >= m.directAfter &&
+        m.address !== ""
+      ) {
+        m.busy = true;
+        this.out.push({ kind: "show", machine: m.name, address: m.address });
+      }
+      if (quiet > 2 * reportS && believable) this.askReturn(m, "silent");
+      const lapse = m.lastRenewed + leaseS * (1 + 2 * CLOCK_DRIFT) + 1;
+      if (now > lapse && m.placements.size > 0) {
+        // Whatever it does now, its lease is over, and with it every task of that session.
+        for (const p of [...m.placements.values()]) this.lost(p, "lease over", now);
+        m.session++;
+        m.seq = -1;
+        m.doubts.clear();
+        m.ended.clear();
+      }
+      if (m.drain !== null && m.placements.size === 0) this.askReturn(m, m.drain);
+    }
+    for (const m of this.cluster.machines.values()) {
+      if (m.state === "booting" && now - m.bootingSince > 4 * m.type.bootS) {
+        this.askReturn(m, "never came up");
+      }
+    }
+  }
+
+  /** Unanswered starts that matter (cancelled, or ended and not to be forgotten) need a new token. */
+  private checkDoubts(now: number): void {
+    if (this.bumping || now - this.bumpedAt < this.settings.leaseS / 2) return;
+    for (const m of this.cluster.machines.values()) {
+      if (m.doubts.size === 0 || m.state !== "up" || !m.fenced) continue;
+      if (now - m.lastHeard > 2 * this.settings.reportS) continue;
+      for (const key of m.doubts.keys()) {
+        const p = m.placements.get(key);
+        const matters = p === undefined ? m.ended.has(key) : p.stop !== null && p.state === "sent";
+        if (!matters) continue;
+        this.bumping = true;
+        this.out.push({ kind: "bump" });
+        return;
+      }
+    }
+  }
+
+  /** The epoch was raised, or not (null), to fence off late starts. */
+  bumped(epoch: { n: number; mark: number } | null, now: number): Output[] {
+    this.bumping = false;
+    this.bumpedAt = now;
+    if (epoch === null) return [];
+    this.epoch = epoch.n;
+    this.epochMark = epoch.mark;
+    for (const m of this.cluster.machines.values()) m.fenced = false;
+    for (const m of this.cluster.machines.values()) this.pump(m, now);
+    return this.flush(now);
+  }
+
+  // ---------------------------------------------------------------- cloud
+
+  private askReturn(m: Machine, why: string): void {
+    if (this.pendingReturns.has(m.name) || m.state === "gone") return;
+    this.pendingReturns.set(m.name, why);
+    m.drain ??= why;
+    m.state = "returning";
+    this.log("return machine", { machine: m.name, why, tasks: m.placements.size });
+  }
+
+  private cloudWork(now: number): void {
+    if (now < this.cloudAfter) return;
+    if (this.pendingReturns.size > 0 && this.returning === 0) {
+      this.returning++;
+      this.out.push({ kind: "return", machines: [...this.pendingReturns.keys()].slice(0, 100) });
+    }
+    if (!this.listing && now - this.listedAt > Math.max(this.settings.listLagS, 2) / 1.5) {
+      this.listing = true;
+      this.listedAt = now;
+      this.out.push({ kind: "list" });
+    }
+    if (this.renting === 0 && this.typesKnown && now - this.rentedAt > 2 / this.settings.cloudRps) {
+      this.rent(now);
+    }
+  }
+
+  private rent(now: number): void {
+    // A holder that has just begun does not know all machines yet.
+    if (now - this.startedAt < 2 * this.settings.listLagS && this.listed.size === 0) return;
+    for (const s of this.shapes.values()) s.running = 0;
+    for (const m of this.cluster.machines.values()) {
+      for (const p of m.placements.values()) {
+        const s = this.shapes.get(p.job.spec.class);
+        if (s !== undefined) s.running++;
+      }
+    }
+    const ctx: RentContext = {
+      cluster: this.cluster,
+      settings: this.settings,
+      types: [...this.types.values()],
+      now,
+      refused: this.refused,
+      spare: this.options.spare,
+      maxMachines: this.options.maxMachines,
+    };
+    const r = wanted(ctx, this.waiting, this.shapes.values());
+    if (r !== null) {
+      this.renting++;
+      this.rentedAt = now;
+      this.rentals++;
+      // Names are never used again: the epoch is this term's alone.
+      const name = `t${this.epoch}-${this.rentals}`;
+      this.log("rent", { ...r });
+      this.out.push({
+        kind: "rent",
+        name,
+        type: r.type,
+        zone: r.zone,
+        spot: r.spot,
+        count: r.count,
+      });
+      return;
+    }
+    for (const m of surplus(ctx, [...this.shapes.values()], this.options.idleReturnS)) {
+      this.askReturn(m, "idle");
+    }
+  }
+
+  rented(
+    request: { type: string; zone: string; spot: boolean; count: number },
+    result: { machines: readonly string[] } | "no capacity" | "trouble",
+    now: number,
+  ): Output[] {
+    this.renting--;
+    const key = offerKey(request.type, request.zone, request.spot);
+    if (result === "trouble") this.cloudAfter = now + 1;
+    else if (result === "no capacity") this.refused.set(key, now + this.settings.leaseS / 2);
+    else {
+      for (const name of result.machines) {
+        this.machine(name, request.type, request.zone, request.spot, now);
+      }
+      if (result.machines.length < request.count) {
+        this.refused.set(key, now + this.settings.leaseS / 2);
+      }
+    }
+    return this.flush(now);
+  }
+
+  returned(machines: readonly string[], ok: boolean, now: number): Output[] {
+    this.returning--;
+    if (!ok) {
+      this.cloudAfter = now + 0.5;
+      return [];
+    }
+    for (const name of machines) {
+      this.pendingReturns.delete(name);
+      this.machineGone(name, "returned", now);
+    }
+    return this.flush(now);
+  }
+
+  /** The machine and everything on it are gone for certain. */
+  private machineGone(name: string, why: string, now: number): void {
+    this.gone.add(name);
+    const m = this.cluster.machines.get(name);
+    if (m === undefined) return;
+    m.state = "gone";
+    for (const p of [...m.placements.values()]) this.lost(p, why, now);
+    this.cluster.machines.delete(name);
+    if (m.stored || this.machineRecords.has(name)) this.machineRecords.set(name, false);
+    this.needPlan = true;
+  }
+
+  list(machines: readonly ListedMachine[] | null, now: number): Output[] {
+    this.listing = false;
+    if (machines === null) {
+      this.cloudAfter = Math.max(this.cloudAfter, now + 0.5);
+      return [];
+    }
+    // The list may be older than one seen before; how old a machine is in it tells.
+    const names = new Set<string>();
+    let newer = true;
+    for (const l of machines) {
+      names.add(l.name);
+      const before = this.listed.get(l.name);
+      if (before !== undefined && l.ageS < before) newer = false;
+    }
+    for (const l of machines) {
+      if (this.gone.has(l.name)) continue;
+      const m = this.machine(l.name, l.type, l.zone, l.spot, now);
+      if (m === null) continue;
+      if (newer) this.listed.set(l.name, l.ageS);
+      if (m.address === "" && l.address !== "") m.address = l.address;
+      if (m.state === "booting") m.bootingSince = Math.min(m.bootingSince, now - l.ageS);
+      if (l.state === "failed") this.askReturn(m, "failed");
+      else if (
+        l.state === "running" &&
+        m.state === "booting" &&
+        m.address !== "" &&
+        !m.busy &&
+        now >= m.directAfter
+      ) {
+        m.busy = true;
+        this.out.push({ kind: "show", machine: m.name, address: m.address });
+      }
+    }
+    if (newer) {
+      for (const name of [...this.listed.keys()]) {
+        if (names.has(name)) continue;
+        // Once listed, a machine stays listed until it is gone. The return makes it certain.
+        this.listed.delete(name);
+        const m = this.cluster.machines.get(name);
+        if (m !== undefined) this.askReturn(m, "no longer listed");
+      }
+    }
+    return this.flush(now);
+  }
+
+  // ---------------------------------------------------------------- writes
+
+  /** The next transaction, or null if there is nothing to write. At most `maxOps` changes. */
+  nextWrite(maxOps: number, maxBytes: number): Write | null {
+    if (this.writing || this.bumping) return null;
+    const w: Write = {
+      conditions: [{ key: KEY.epoch, mark: this.epochMark }],
+      changes: [],
+      jobs: [],
+      machines: [],
+    };
+    let bytes = 200;
+    for (const job of this.writeOrder()) {
+      const id = job.spec.id;
+      const ending = job.present === 0 && (job.cancelled || job.complete);
+      const ops = ending ? (job.cancelled ? 3 : 2) : 1;
+      if (w.changes.length + ops > maxOps) break;
+      const conditions: Condition[] = [{ key: KEY.live(id), mark: job.mark }];
+      const changes: Change[] = [];
+      if (ending) {
+        const value: StoredFinal = {
+          s: job.cancelled ? "cancelled" : "done",
+          n: job.spec.tasks,
+        };
+        conditions.push({ key: KEY.final(id), mark: 0 });
+        // Done and cancelled exclude each other: whichever is stored first rejects the other.
+        if (!job.cancelled) conditions.push({ key: KEY.cancel(id), mark: 0 });
+        changes.push({ op: "put", key: KEY.final(id), value });
+        changes.push({ op: "delete", key: KEY.live(id) });
+        if (job.cancelled) changes.push({ op: "delete", key: KEY.cancel(id) });
+      } else {
+        if (!job.dirty) continue;
+        const value = job.toStored();
+        job.size = JSON.stringify(value).length;
+        changes.push({ op: "put", key: KEY.live(id), value });
+      }
+      const size = (ending ? 100 : job.size) + 300;
+      if (bytes + size > maxBytes && w.changes.length > 0) break;
+      bytes += size;
+      w.conditions.push(...conditions);
+      w.changes.push(...changes);
+      w.jobs.push({ job, version: ending ? null : job.version });
+    }
+    for (const [name, present] of this.machineRecords) {
+      if (w.changes.length + 1 > maxOps || bytes > maxBytes - 500) break;
+      const m = this.cluster.machines.get(name);
+      if (present && m === undefined) continue;
+      bytes += 300;
+      if (present && m !== undefined) {
+        const value: StoredMachine = { a: m.address, t: m.type.name, z: m.zone, s: m.spot };
+        w.changes.push({ op: "put", key: KEY.machine(name), value });
+      } else w.changes.push({ op: "delete", key: KEY.machine(name) });
+      w.machines.push({ name, present });
+    }
+    if (w.changes.length === 0) return null;
+    this.writing = true;
+    return w;
+  }
+
+  /** Placements first, since starts wait for them; then ends; then progress. */
+  private writeOrder(): LiveJob[] {
+    const dirty: LiveJob[] = [];
+    for (const job of this.cluster.jobs.values()) {
+      if (job.dirty || (job.present === 0 && (job.cancelled || job.complete))) dirty.push(job);
+    }
+    const level = (j: LiveJob): number => {
+      for (const p of j.placements.values()) if (p.version > j.savedVersion) return 0;
+      return j.complete || j.cancelled ? 1 : 2;
+    };
+    return dirty
+      .map((job) => ({ job, level: level(job) }))
+      .sort(
+        (a, b) => a.level - b.level || rankOf(a.job.spec.priority) - rankOf(b.job.spec.priority),
+      )
+      .map((x) => x.job);
+  }
+
+  get hasUrgentWrite(): boolean {
+    for (const job of this.cluster.jobs.values()) {
+      if (job.dirty || (job.present === 0 && (job.cancelled || job.complete))) return true;
+    }
+    return this.machineRecords.size > 0;
+  }
+
+  /**
+   * How a write ended. After `conflict` and `unknown` the caller has read the records again and
+   * given them to `recordChanged` before it calls this.
+   */
+  written(
+    w: Write,
+    outcome: WriteOutcome,
+    revision: number,
+    records: Records,
+    now: number,
+  ): Output[] {
+    this.writing = false;
+    if (outcome === "ok") {
+      for (const { job, version } of w.jobs) {
+        if (version === null) {
+          this.log("job over", { job: job.spec.id, state: job.cancelled ? "cancelled" : "done" });
+          this.cluster.jobs.delete(job.spec.id);
+          continue;
+        }
+        job.mark = Math.max(job.mark, revision);
+        job.savedVersion = Math.max(job.savedVersion, version);
+      }
+      for (const { name, present } of w.machines) {
+        if (this.machineRecords.get(name) === present) this.machineRecords.delete(name);
+        const m = this.cluster.machines.get(name);
+        if (m !== undefined) m.stored = present;
+      }
+    } else if (outcome !== "refused") {
+      for (const { job } of w.jobs) {
+        this.recordChanged(records, job.spec.id, now);
+        if (!records.live.has(job.spec.id) && records.finals.has(job.spec.id)) {
+          this.forgetJob(job, now);
+        }
+      }
+    }
+    const machines = new Set<Machine>();
+    for (const { job } of w.jobs) for (const p of job.everyPlacement()) machines.add(p.machine);
+    for (const m of machines) this.pump(m, now);
+    return this.flush(now);
+  }
+
+  // ---------------------------------------------------------------- helpers
+
+  private log(message: string, fields: Record<string, unknown>): void {
+    this.out.push({ kind: "log", message, fields });
+  }
+
+  private flush(_now: number): Output[] {
+    const out = this.out;
+    this.out = [];
+    return out;
+  }
+
+  /** For whoever looks at a running holder. */
+  summary(): Record<string, unknown> {
+    let waiting = 0;
+    for (const j of this.cluster.jobs.values()) waiting += j.cancelled ? 0 : j.pendingCount;
+    const machines = [...this.cluster.machines.values()];
+    return {
+      jobs: this.cluster.jobs.size,
+      waiting,
+      machines: machines.length,
+      up: machines.filter((m) => m.state === "up").length,
+      fenced: machines.filter((m) => m.fenced).length,
+      room: [...this.shapes.values()].map(
+        (s) => `${s.spec.class}:${freeSlots(this.cluster, s.spec)}`,
+      ),
+    };
+  }
+}
+
+function* rangesOf(text: string): Generator<number> {
+  if (text === "") return;
+  for (const part of text.split(",")) {
+    const [a, b] = part.split("-");
+    const to = Number(b ?? a);
+    for (let n = Number(a); n <= to; n++) yield n;
+  }
+}
+
+function* range(n: number): Generator<number> {
+  for (let i = 0; i < n; i++) yield i;
+}
+
+const forgetOf = (e: EndedTask): Command => ({
+  op: "forget",
+  job: e.job,
+  task: e.task,
+  attempt: e.attempt,
+});
+
+/** Can any task of the job ever run, and does the job fit its team's limit? */
+export function canEverRun(
+  spec: JobSpec,
+  settings: ClusterSettings,
+  types: readonly MachineType[],
+): boolean {
+  const team = settings.teams.find((t) => t.name === spec.team);
+  if (team === undefined) return false;
+  const tasks = spec.kind === "array" ? 1 : spec.tasks;
+  if (team.cpusMax > 0 && spec.cpus * tasks > team.cpusMax + 1e-6) return false;
+  if (team.gpusMax > 0 && spec.gpus * tasks > team.gpusMax + 1e-6) return false;
+  return types.some(
+    (t) =>
+      slots(spec, t.cpus, t.gpus, t.memoryGb) >= 1 &&
+      t.zones.some((zone) => typeAllowed(spec, t.name, zone, false)),
+  );
+}
--- /dev/null
+++ b/src/core/term.ts
@@ -0,0 +1,44 @@
+/**
+ * The term: one controller at a time makes all accepting writes (docs/design.md, exception 1).
+ *
+ * It rests on a leased key and a permanent counter. This is the arithmetic of when the holder may
+ * act: it counts from when a renewal was sent, by its own clock, less what clocks may drift apart
+ * and a margin, so that it has stopped before the lease can have lapsed.
+ */
+import { CLOCK_DRIFT } from "./model.js";
+
+export class Term {
+  private until: number;
+
+  constructor(
+    readonly member: string,
+    public epoch: number,
+    public epochMark: number,
+    readonly lease: number,
+    private readonly ttlS: number,
+    grantSentAt: number,
+  ) {
+    this.until = this.end(grantSentAt);
+  }
+
+  private end(sentAt: number): number {
+    return sentAt + this.ttlS * (1 - 2 * CLOCK_DRIFT) - this.ttlS / 10;
+  }
+
+  renewed(sentAt: number): void {
+    this.until = Math.max(this.until, this.end(sentAt));
+  }
+
+  acting(now: number): boolean {
+    return now < this.until;
+  }
+
+  /**
+   * For a while after it may no longer act, the holder goes on answering reports, without commands:
+   * the state service may be down for everybody, and workers would lose all their tasks. Whoever
+   * takes over counts this time in (`graceS` of the scheduler).
+   */
+  answering(now: number, graceS: number): boolean {
+    return now < this.until + graceS;
+  }
+}
--- /dev/null
+++ b/src/state/store.ts
@@ -0,0 +1,131 @@
+/** The state service, through its protocol. Tells apart what was not done from what may have been. */
+import { Peer, type Reply, RequestFailed } from "../net/client.js";
+import { decode, encode } from "../wire/msgpack.js";
+import { PATH } from "../wire/names.js";
+import {
+  type Change,
+  type Condition,
+  decodeFollow,
+  decodeLease,
+  decodeRange,
+  decodeTxn,
+  type Event,
+  encodeTxn,
+  type Item,
+} from "../wire/state.js";
+
+export type TxnResult =
+  | { readonly kind: "ok"; readonly revision: number }
+  | { readonly kind: "failed"; readonly keys: readonly string[] }
+  /** Certainly not executed: over a limit, or the service is not available to us. */
+  | { readonly kind: "refused"; readonly status: number }
+  /** May have been executed, or may yet be. */
+  | { readonly kind: "unknown" };
+
+export type FollowResult =
+  | { readonly kind: "ok"; readonly revision: number; readonly events: readonly Event[] }
+  | { readonly kind: "compacted" }
+  | { readonly kind: "failed" };
+
+export class Store {
+  private readonly peer: Peer;
+  private readonly watcher: Peer;
+  /** Steady time, in seconds, at which the service last answered other than by refusing. */
+  lastAnswer = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    address: string,
+    private readonly now: () => number,
+    private readonly timeoutMs: number,
+  ) {
+    this.peer = new Peer(address, 32);
+    this.watcher = new Peer(address, 4);
+  }
+
+  private async call(
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs = this.timeoutMs,
+    peer = this.peer,
+  ): Promise<Reply | { status: 0; sent: boolean }> {
+    try {
+      const r = await peer.request(
+        method,
+        path,
+        body === undefined ? null : encode(body),
+        timeoutMs,
+      );
+      if (r.status < 500 && r.status !== 429) this.lastAnswer = this.now();
+      return r;
+    } catch (e) {
+      return { status: 0, sent: e instanceof RequestFailed ? e.sent : true };
+    }
+  }
+
+  async txn(conditions: readonly Condition[], changes: readonly Change[]): Promise<TxnResult> {
+    const r = await this.call("POST", PATH.txn, encodeTxn(conditions, changes));
+    if (r.status === 0) {
+      return (r as { sent: boolean }).sent ? { kind: "unknown" } : { kind: "refused", status: 0 };
+    }
+    if (r.status === 200 || r.status === 409) {
+      const t = decodeTxn(decode((r as Reply).body));
+      if (t === null) return { kind: "unknown" };
+      return r.status === 200
+        ? { kind: "ok", revision: t.ledger }
+        : { kind: "failed", keys: t.failed };
+    }
+    return { kind: "refused", status: r.status };
+  }
+
+  /** Everything, page by page, with the revision before the first page. */
+  async readAll(): Promise<{ items: Item[]; revision: number } | null> {
+    const items: Item[] = [];
+    let revision = -1;
+    let since: string | null = null;
+    for (;;) {
+      const from: string = since === null ? "" : `&since=${since}`;
+      const r = await this.call(
+        "GET",
+        `${PATH.kv}?prefix=${from}&most=1000`,
+        undefined,
+        3 * this.timeoutMs,
+      );
+      if (r.status !== 200) return null;
+      const page = decodeRange(decode((r as Reply).body));
+      if (page === null) return null;
+      if (revision < 0) revision = page.ledger;
+      for (const i of page.items) items.push(i);
+      if (!page.more || page.items.length === 0) return { items, revision };
+      since = page.items[page.items.length - 1]!.key;
+    }
+  }
+
+  async follow(since: number, blockMs: number): Promise<FollowResult> {
+    const r = await this.call(
+      "GET",
+      `${PATH.follow}?prefix=&since=${since}&blockMs=${blockMs}`,
+      undefined,
+      blockMs + this.timeoutMs,
+      blockMs > 0 ? this.watcher : this.peer,
+    );
+    if (r.status === 410) return { kind: "compacted" };
+    if (r.status !== 200) return { kind: "failed" };
+    const f = decodeFollow(decode((r as Reply).body));
+    return f === null ? { kind: "failed" } : { kind: "ok", revision: f.ledger, events: f.events };
+  }
+
+  async grant(ttlMs: number): Promise<number | null> {
+    const r = await this.call("POST", PATH.leases, { ttlMs });
+    return r.status === 200 ? decodeLease(decode((r as Reply).body)) : null;
+  }
+
+  async extend(lease: number): Promise<"ok" | "ended" | "failed"> {
+    const r = await this.call("POST", `${PATH.leases}/${lease}/${PATH.extend}`, undefined);
+    return r.status === 200 ? "ok" : r.status === 404 ? "ended" : "failed";
+  }
+
+  async revoke(lease: number): Promise<void> {
+    await this.call("DELETE", `${PATH.leases}/${lease}`, undefined);
+  }
+}
--- /dev/null
+++ b/src/wire/schema.ts
@@ -0,0 +1,327 @@
+/** Schemas for what other programs send us, each turned into the field's terms. */
+import { z } from "zod";
+import type {
+  Command,
+  JobSpec,
+  JobView,
+  ListedMachine,
+  MachineType,
+  Report,
+  TaskReport,
+} from "../core/model.js";
+import {
+  CAUSE,
+  CAUSE_IN,
+  KIND_IN,
+  OP,
+  OP_IN,
+  PRIORITY_IN,
+  TASK_STATE,
+  TASK_STATE_IN,
+} from "./names.js";
+
+/** Keys hold at most 200 bytes without spaces; ours put up to four characters before an id. */
+const ID_BYTES = 190;
+const IMAGE_BYTES = 512;
+export const MAX_TASKS = 100_000;
+
+export const idIsValid = (id: string): boolean =>
+  id.length > 0 &&
+  Buffer.byteLength(id) <= ID_BYTES &&
+  /^[\x21-\x7e]+$/.test(id) &&
+  !/[/?#%&]/.test(id);
+
+const id = z.string().refine(idIsValid);
+const label = z
+  .string()
+  .min(1)
+  .refine((s) => Buffer.byteLength(s) <= ID_BYTES);
+const finite = z.number().nonnegative().finite();
+const whole = z.number().int().nonnegative();
+const choice = <V>(m: Record<string, V>) =>
+  z.string().transform((s, ctx): V => {
+    if (Object.hasOwn(m, s)) return m[s]!;
+    ctx.addIssue({ code: "custom", message: "unknown value" });
+    return z.NEVER;
+  });
+
+const jobIn = z
+  .object({
+    nameId: id,
+    herd: label,
+    outfit: label,
+    gait: choice(KIND_IN),
+    rank: choice(PRIORITY_IN),
+    strides: z.number().int().min(1).max(MAX_TASKS),
+    cpus: finite,
+    cards: finite,
+    memoryGb: finite,
+    tack: z
+      .string()
+      .min(1)
+      .refine((s) => Buffer.byteLength(s) <= IMAGE_BYTES),
+    pullGb: finite,
+    breeds: z.array(label).nullish(),
+    paddock: label.nullish(),
+    together: z.boolean(),
+    apart: z.boolean(),
+    loaners: z.boolean(),
+    rideS: finite,
+    restS: finite,
+    unsaddleS: finite,
+    dueS: finite.nullish(),
+  })
+  .refine((j) => j.cpus > 0 || j.cards > 0 || j.memoryGb > 0)
+  // All tasks in one zone and at most half of them in any: only one task can obey both.
+  .refine((j) => !(j.together && j.apart && j.strides > 1));
+
+export function decodeJob(body: unknown): JobSpec | null {
+  const r = jobIn.safeParse(body);
+  if (!r.success) return null;
+  const j = r.data;
+  return {
+    id: j.nameId,
+    class: j.herd,
+    team: j.outfit,
+    kind: j.gait,
+    priority: j.rank,
+    tasks: j.strides,
+    cpus: j.cpus,
+    gpus: j.cards,
+    memoryGb: j.memoryGb,
+    types: j.breeds ?? null,
+    zone: j.paddock ?? null,
+    oneZone: j.together,
+    spread: j.apart,
+    spot: j.loaners,
+    image: j.tack,
+    imageGb: j.pullGb,
+    estimateS: j.rideS,
+    checkpointS: j.restS,
+    saveS: j.unsaddleS,
+    deadlineS: j.dueS ?? null,
+  };
+}
+
+export const encodeView = (v: JobView, counts: boolean): Record<string, unknown> =>
+  counts
+    ? { nameId: v.id, stance: v.state, done: v.done, running: v.running }
+    : { nameId: v.id, stance: v.state };
+
+export function splitTask(name: string): { job: string; task: number } | null {
+  const slash = name.lastIndexOf("/");
+  const task = Number(name.slice(slash + 1));
+  if (slash <= 0 || !Number.isInteger(task) || task < 0) return null;
+  return { job: name.slice(0, slash), task };
+}
+
+const taskIn = z
+  .object({
+    stride: z.string(),
+    mounting: whole,
+    stance: choice(TASK_STATE_IN),
+    cause: z.string().nullish(),
+    saved: z.boolean().nullish(),
+  })
+  .transform((t, ctx): TaskReport => {
+    const at = splitTask(t.stride);
+    if (at === null) {
+      ctx.addIssue({ code: "custom", message: "not a task name" });
+      return z.NEVER;
+    }
+    // An exit for a reason we do not know is an exit all the same.
+    const cause = t.stance === "exited" ? (CAUSE_IN[t.cause ?? ""] ?? "error") : null;
+    return { ...at, attempt: t.mounting, state: t.stance, cause, saved: t.saved ?? false };
+  });
+
+const reportIn = z
+  .object({
+    mount: label,
+    address: z.string().min(3),
+    breed: z.string(),
+    paddock: z.string(),
+    loaners: z.boolean(),
+    stint: whole,
+    tally: whole,
+    rein: whole,
+    recallS: finite.nullish(),
+    strides: z.array(taskIn),
+  })
+  .transform(
+    (r): Report => ({
+      machine: r.mount,
+      address: r.address,
+      type: r.breed,
+      zone: r.paddock,
+      spot: r.loaners,
+      session: r.stint,
+      seq: r.tally,
+      token: r.rein,
+      noticeS: r.recallS ?? null,
+      tasks: r.strides,
+    }),
+  );
+
+export function decodeReport(body: unknown): Report | null {
+  const r = reportIn.safeParse(body);
+  return r.success ? r.data : null;
+}
+
+/** The other side of a report, for the worker stand-in. */
+export const encodeReport = (r: Report): Record<string, unknown> => ({
+  mount: r.machine,
+  address: r.address,
+  breed: r.type,
+  paddock: r.zone,
+  loaners: r.spot,
+  stint: r.session,
+  tally: r.seq,
+  rein: r.token,
+  recallS: r.noticeS,
+  strides: r.tasks.map((t) => ({
+    stride: `${t.job}/${t.task}`,
+    mounting: t.attempt,
+    stance: TASK_STATE[t.state],
+    ...(t.cause === null ? {} : { cause: CAUSE[t.cause] }),
+    ...(t.saved ? { saved: true } : {}),
+  })),
+});
+
+const encodeCommand = (c: Command): Record<string, unknown> => {
+  const base = { call: OP[c.op], stride: `${c.job}/${c.task}`, mounting: c.attempt };
+  return c.op === "stop" ? { ...base, easeS: c.graceS } : base;
+};
+
+export const encodeCommands = (
+  token: number,
+  session: number | null,
+  commands: readonly Command[],
+): Record<string, unknown> => ({
+  rein: token,
+  ...(session === null ? {} : { stint: session }),
+  calls: commands.map(encodeCommand),
+});
+
+const commandsIn = z.object({
+  rein: whole,
+  stint: whole.nullish(),
+  calls: z.array(
+    z.object({
+      call: choice(OP_IN),
+      stride: z.string(),
+      mounting: whole,
+      easeS: finite.nullish(),
+    }),
+  ),
+});
+
+/** What a worker reads, for the stand-in. */
+export function decodeCommands(
+  body: unknown,
+): { token: number; session: number | null; commands: Command[] } | null {
+  const r = commandsIn.safeParse(body);
+  if (!r.success) return null;
+  const commands: Command[] = [];
+  for (const c of r.data.calls) {
+    const at = splitTask(c.stride);
+    if (at === null) return null;
+    const base = { ...at, attempt: c.mounting };
+    commands.push(
+      c.call === "stop" ? { op: "stop", ...base, graceS: c.easeS ?? 0 } : { op: c.call, ...base },
+    );
+  }
+  return { token: r.data.rein, session: r.data.stint ?? null, commands };
+}
+
+export const encodeRedirect = (holder: string | null): Record<string, unknown> =>
+  holder === null ? {} : { groom: holder };
+
+const catalogIn = z.object({
+  breeds: z.array(
+    z
+      .object({
+        sku: z.string(),
+        cpus: finite,
+        cards: finite.nullish(),
+        memoryGb: finite,
+        localGb: finite.nullish(),
+        fetchGbPerS: finite.nullish(),
+        hourly: finite,
+        spotPrice: finite.nullish(),
+        readyS: finite,
+        paddocks: z.array(z.string()),
+      })
+      .transform(
+        (t): MachineType => ({
+          name: t.sku,
+          cpus: t.cpus,
+          gpus: t.cards ?? 0,
+          memoryGb: t.memoryGb,
+          cacheGb: t.localGb ?? 0,
+          fetchGbPerS: t.fetchGbPerS ?? 1,
+          price: t.hourly,
+          spotPrice: t.spotPrice ?? t.hourly,
+          bootS: t.readyS,
+          zones: t.paddocks,
+        }),
+      ),
+  ),
+});
+
+export function decodeCatalog(body: unknown): MachineType[] | null {
+  const r = catalogIn.safeParse(body);
+  return r.success ? r.data.breeds : null;
+}
+
+const listIn = z.object({
+  mounts: z.array(
+    z
+      .object({
+        nameId: z.string(),
+        address: z.string().nullish(),
+        breed: z.string(),
+        paddock: z.string(),
+        loaners: z.boolean(),
+        stance: z.enum(["booting", "running", "failed"]),
+        ageS: z.number(),
+      })
+      .transform(
+        (m): ListedMachine => ({
+          name: m.nameId,
+          address: m.address ?? "",
+          type: m.breed,
+          zone: m.paddock,
+          spot: m.loaners,
+          state: m.stance,
+          ageS: m.ageS,
+        }),
+      ),
+  ),
+  more: z.boolean().nullish(),
+});
+
+export function decodeMachines(body: unknown): { machines: ListedMachine[]; more: boolean } | null {
+  const r = listIn.safeParse(body);
+  return r.success ? { machines: r.data.mounts, more: r.data.more ?? false } : null;
+}
+
+const rentedIn = z.object({ mounts: z.array(z.string()) });
+export function decodeRented(body: unknown): string[] | null {
+  const r = rentedIn.safeParse(body);
+  return r.success ? r.data.mounts : null;
+}
+
+export const encodeRent = (
+  name: string,
+  type: string,
+  zone: string,
+  spot: boolean,
+  count: number,
+) => ({
+  hire: name,
+  breed: type,
+  paddock: zone,
+  loaners: spot,
+  howMany: count,
+});
+export const encodeReturn = (machines: readonly string[]) => ({ mounts: machines });
--- /dev/null
+++ b/src/workers/client.ts
@@ -0,0 +1,58 @@
+/** Direct commands to workers. */
+
+import type { Command, Report } from "../core/model.js";
+import type { SendOutcome } from "../core/scheduler.js";
+import { Peer, RequestFailed } from "../net/client.js";
+import { decode, encode } from "../wire/msgpack.js";
+import { PATH } from "../wire/names.js";
+import { decodeReport, encodeCommands } from "../wire/schema.js";
+
+export class Workers {
+  private readonly peers = new Map<string, Peer>();
+
+  constructor(private readonly timeoutMs: number) {}
+
+  private peer(address: string): Peer {
+    let p = this.peers.get(address);
+    if (p === undefined) {
+      p = new Peer(address, 2);
+      this.peers.set(address, p);
+    }
+    return p;
+  }
+
+  async send(
+    address: string,
+    token: number,
+    session: number,
+    commands: readonly Command[],
+  ): Promise<SendOutcome> {
+    try {
+      const body = encode(encodeCommands(token, session, commands));
+      const r = await this.peer(address).request("POST", PATH.commands, body, this.timeoutMs);
+      const report = r.status === 200 || r.status === 409 ? decodeReport(decode(r.body)) : null;
+      if (report === null) return { kind: "lost", sent: r.status !== 400 };
+      return { kind: "answer", executed: r.status === 200, report };
+    } catch (e) {
+      return { kind: "lost", sent: e instanceof RequestFailed ? e.sent : true };
+    }
+  }
+
+  async show(address: string): Promise<Report | null> {
+    try {
+      const r = await this.peer(address).request("GET", PATH.show, null, this.timeoutMs);
+      return r.status === 200 ? decodeReport(decode(r.body)) : null;
+    } catch {
+      return null;
+    }
+  }
+
+  /** Drops connections to machines that are no more. */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    for (const [address, peer] of this.peers) {
+      if (addresses.has(address)) continue;
+      peer.close();
+      this.peers.delete(address);
+    }
+  }
+}
