--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -38,6 +38,8 @@
   readonly now: () => number;
   /** Seconds after which a refused client may come back. */
   readonly retryAfterS: number;
+  /** Told of faults of our own. */
+  readonly fault: (error: Error) => void;
 }
 
 export function buildServer(desk: Desk, options: ServerOptions): FastifyInstance {
@@ -82,8 +84,10 @@
 
   app.setErrorHandler((error: Error & { statusCode?: number }, _req, reply) => {
     const status = error.statusCode ?? 500;
-    if (status >= 500) refuse(reply, 503, "trouble");
-    else send(reply, status === 413 ? 400 : status, { error: error.message });
+    if (status >= 500) {
+      options.fault(error);
+      refuse(reply, 503, "trouble");
+    } else send(reply, status === 413 ? 400 : status, { error: error.message });
   });
   app.setNotFoundHandler((_req, reply) => send(reply, 404, { error: "no such path" }));
 
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -67,6 +67,7 @@
       limit: new AdaptiveLimit(4, operator.maxInProgress, answerMs / 1000 / 4),
       now: steady,
       retryAfterS: 1,
+      fault: (error) => this.log.error({ err: error }, "request failed"),
     });
   }
 
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -223,23 +223,23 @@
   place(job, tasks, candidates(job, ctx, gpuShape).slice(0, Math.max(entries, 1)), ctx);
 }
 
+/**
+ * How strongly a job holds its place, the strongest first: production, then what is within its
+ * team's guarantee, then the rest, each by priority. Only the stronger preempts, so two jobs can
+ * never stop each other in turn.
+ */
+export function hold(job: LiveJob, within: ReadonlySet<string>): number {
+  if (job.spec.priority === "production") return 0;
+  return (within.has(job.spec.id) ? 10 : 20) + rankOf(job.spec.priority);
+}
+
 /** May this placement be stopped to make room for the job? */
-function mayPreempt(
-  job: LiveJob,
-  p: Placement,
-  within: ReadonlySet<string>,
-  ctx: PlanContext,
-): boolean {
+function mayPreempt(job: LiveJob, p: Placement, within: ReadonlySet<string>): boolean {
   if (p.stop !== null) return false;
+  if (hold(job, within) >= hold(p.job, within)) return false;
   if (rankOf(p.job.spec.priority) > rankOf(job.spec.priority)) return true;
   // To give a team its guarantee, what another team runs beyond its own may be stopped.
-  return (
-    within.has(job.spec.id) &&
-    !within.has(p.job.spec.id) &&
-    p.job.spec.team !== job.spec.team &&
-    p.job.spec.kind !== "service" &&
-    ctx.cluster.teams.has(job.spec.team)
-  );
+  return within.has(job.spec.id) && !within.has(p.job.spec.id) && p.job.spec.team !== job.spec.team;
 }
 
 /** Work lost if the placement is stopped now, in task seconds times CPUs. */
@@ -284,7 +284,7 @@
     const victims: Placement[] = [];
     let cost = imageWait(m, job.spec);
     const order = [...m.placements.values()]
-      .filter((p) => mayPreempt(job, p, within, ctx))
+      .filter((p) => mayPreempt(job, p, within))
       .sort(
         (a, b) =>
           rankOf(b.job.spec.priority) - rankOf(a.job.spec.priority) ||
@@ -317,12 +317,9 @@
   }
   const due = (j: LiveJob): number =>
     j.submittedAt + 1000 * (j.spec.deadlineS ?? objectiveFor(j, ctx) ?? 10 * ctx.settings.leaseS);
-  const level = (j: LiveJob): number =>
-    j.spec.priority === "production"
-      ? -1
-      : rankOf(j.spec.priority) - (within.has(j.spec.id) ? 0.5 : 0);
   return waiting.sort(
-    (a, b) => level(a) - level(b) || due(a) - due(b) || (a.spec.id < b.spec.id ? -1 : 1),
+    (a, b) =>
+      hold(a, within) - hold(b, within) || due(a) - due(b) || (a.spec.id < b.spec.id ? -1 : 1),
   );
 }
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -670,6 +670,9 @@
   private preempt(job: LiveJob, ctx: PlanContext, within: ReadonlySet<string>): void {
     const rank = rankOf(job.spec.priority);
     if (rank > 1 && !within.has(job.spec.id)) return;
+    // Stopping costs work: what is not urgent waits a moment for room to come up by itself.
+    const waited = ctx.now - (job.waitingSince ?? ctx.now);
+    if (rank > 0 && waited < this.settings.reportS * rank) return;
     let need = job.pendingCount;
     if (job.spec.kind === "gang" && job.present > 0) return;
     for (const m of this.cluster.machines.values()) {
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -60,7 +60,8 @@
       .object({
         write: z.string().nullish(),
         remove: z.string().nullish(),
-        data: z.unknown(),
+        // A removal carries no value, and a key of unknown content is required unless said.
+        data: z.unknown().optional(),
         mark: z.number(),
       })
       .transform((e): Event => {
