--- a/src/core/limit.ts
+++ b/src/core/limit.ts
@@ -7,7 +7,10 @@
 export class AdaptiveLimit {
   private limit: number;
   private inProgress = 0;
-  /** Shortest time seen, let up slowly so that it follows a change of the machine. */
+  /**
+   * Shortest time seen, let up slowly so that it follows a change of the machine: by the same share
+   * for each full round of requests, as a step for each request would let a busy hour hide a queue.
+   */
   private best = Number.POSITIVE_INFINITY;
   private smoothed = 0;
 
@@ -37,7 +40,7 @@
   leave(tookS: number): void {
     const full = this.inProgress >= this.limit / 2;
     this.inProgress--;
-    this.best = Math.min(this.best * 1.001, tookS);
+    this.best = Math.min(this.best * (1 + 1e-4 / this.limit), tookS);
     this.smoothed = this.smoothed === 0 ? tookS : 0.9 * this.smoothed + 0.1 * tookS;
     const usual = Math.max(this.goodS, 2 * this.best);
     const gradient = Math.max(0.5, Math.min(1, usual / this.smoothed));
--- /dev/null
+++ b/tests/helpers.ts
@@ -0,0 +1,274 @@
+/** What several tests share: bodies, settings, and a holder whose trace can be read. */
+
+import type { JobSpec, MachineType, Report, TaskReport } from "../src/core/model.js";
+import { ownDependencies, written } from "../src/core/pipeline.js";
+import { KEY, Records } from "../src/core/records.js";
+import { type Output, Scheduler, type Write } from "../src/core/scheduler.js";
+import { decodeSettings } from "../src/wire/settings.js";
+
+export const jobBody = (change: Record<string, unknown> = {}): Record<string, unknown> => ({
+  nameId: "run-1",
+  herd: "train",
+  outfit: "vision",
+  gait: "array",
+  rank: "normal",
+  strides: 4,
+  cpus: 1.0,
+  cards: 0.0,
+  memoryGb: 2.0,
+  tack: "img-1",
+  pullGb: 1.0,
+  breeds: null,
+  paddock: null,
+  together: false,
+  apart: false,
+  loaners: true,
+  rideS: 10.0,
+  restS: 0.0,
+  unsaddleS: 0.0,
+  dueS: null,
+  ...change,
+});
+
+export const settingsText = (change: Record<string, unknown> = {}): string =>
+  JSON.stringify({
+    member: "n0",
+    location: "a",
+    serve_on: "127.0.0.1:1",
+    mesh_addr: "127.0.0.1:2",
+    siblings: [],
+    services: { cloud: "127.0.0.1:3", state: "127.0.0.1:4" },
+    unknown_field: 1,
+    settings: {
+      nodes: 3,
+      zones: ["a", "b"],
+      teams: [
+        { name: "vision", cpus: 4, cpus_max: 16, gpus: 0, gpus_max: 0 },
+        { name: "maps", cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 },
+      ],
+      objectives: [{ kind: "wait", class: "web", within_s: 1, share: 0.9 }],
+      workers: { report_s: 3, lease_s: 21, gang_wait_s: 45, gang_peer_s: 8, cancel_s: 46 },
+      state: { rps: 150, write_rps: 40, value_kb: 8, txn_ops: 32 },
+      cloud: { rps: 5, list_lag_s: 3 },
+      resources: { cpu_share: 0.25, mem_mb: 242, sockets: 1500 },
+      clock_off_ms: 25,
+    },
+    ...change,
+  });
+
+export const TYPES: MachineType[] = [
+  {
+    name: "small",
+    cpus: 4,
+    gpus: 0,
+    memoryGb: 32,
+    cacheGb: 40,
+    fetchGbPerS: 0.5,
+    price: 0.2,
+    spotPrice: 0.1,
+    bootS: 15,
+    zones: ["a", "b"],
+  },
+];
+
+export const spec = (id: string, change: Partial<JobSpec> = {}): JobSpec => ({
+  id,
+  class: "batch",
+  team: "vision",
+  kind: "array",
+  priority: "normal",
+  tasks: 1,
+  cpus: 1,
+  gpus: 0,
+  memoryGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  image: "img",
+  imageGb: 1,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...change,
+});
+
+export const task = (
+  job: string,
+  n: number,
+  attempt: number,
+  state: TaskReport["state"] = "running",
+  cause: TaskReport["cause"] = null,
+): TaskReport => ({ job, task: n, attempt, state, cause, saved: false });
+
+/**
+ * A term holder with a store that is always there, writing down what goes in and out as lines.
+ * Direct commands are held back until a test lets the worker answer.
+ */
+export class Holder {
+  readonly lines: string[] = [];
+  readonly records: Records;
+  readonly scheduler: Scheduler;
+  now: number;
+  private revision: number;
+  /** Direct commands without an answer yet. */
+  readonly pending: Extract<Output, { kind: "send" }>[] = [];
+  storing = true;
+  private seq = 100;
+
+  constructor(options: { records?: Records; epoch?: number; now?: number; graceS?: number } = {}) {
+    this.records = options.records ?? new Records();
+    if (options.records === undefined) this.records.reset([], 0);
+    this.now = options.now ?? 1000;
+    this.revision = Math.max(this.records.ledger, 1) + 1;
+    const epoch = options.epoch ?? 1;
+    this.records.apply(
+      [{ key: KEY.epoch, value: { n: epoch }, removed: false, mark: this.revision }],
+      this.revision,
+    );
+    const s = decodeSettings(settingsText());
+    if (!("settings" in s)) throw new Error("test settings");
+    this.scheduler = new Scheduler(
+      s.settings.cluster,
+      { spare: 0, maxMachines: 0, idleReturnS: 1e9, graceS: options.graceS ?? 21 },
+      epoch,
+      this.revision,
+      this.now,
+    );
+    this.scheduler.setTypes(TYPES);
+    this.take(this.scheduler.load(this.records, this.now));
+  }
+
+  private put(key: string, value: unknown): void {
+    this.revision++;
+    this.records.apply(
+      [{ key, value, removed: value === null, mark: this.revision }],
+      this.revision,
+    );
+  }
+
+  submit(s: JobSpec): void {
+    const r = written(ownDependencies(s.id));
+    this.put(KEY.live(s.id), { j: s, at: 0, r, v: 1, n: 1, o: 0, done: "", pl: [] });
+    this.lines.push(`> submit ${s.id}`);
+    this.scheduler.recordChanged(this.records, s.id, this.now);
+    this.tick();
+  }
+
+  cancel(id: string): void {
+    this.put(KEY.cancel(id), { at: 0 });
+    this.lines.push(`> cancel ${id}`);
+    this.scheduler.recordChanged(this.records, id, this.now);
+    this.tick();
+  }
+
+  tick(seconds = 0): void {
+    this.now += seconds;
+    this.take(this.scheduler.tick(this.now, this.now * 1000));
+    this.store();
+  }
+
+  store(): void {
+    for (;;) {
+      if (!this.storing) return;
+      const w = this.scheduler.nextWrite(32, 60_000);
+      if (w === null) return;
+      this.commit(w);
+    }
+  }
+
+  commit(w: Write): void {
+    this.revision++;
+    const events = w.changes.map((c) => ({
+      key: c.key,
+      value: c.op === "put" ? c.value : null,
+      removed: c.op === "delete",
+      mark: this.revision,
+    }));
+    const what = w.changes
+      .filter((c) => !c.key.startsWith("m/"))
+      .map((c) => {
+        if (c.op === "delete") return `remove ${c.key}`;
+        const v = c.value as { s?: string; done?: string; pl?: unknown[] };
+        return v.s !== undefined
+          ? `${c.key} ${v.s}`
+          : `${c.key} done=${v.done} at=${JSON.stringify(v.pl)}`;
+      });
+    if (what.length > 0) this.lines.push(`write ${what.join("; ")}`);
+    this.records.apply(events, this.revision);
+    this.take(this.scheduler.written(w, "ok", this.revision, this.records, this.now));
+  }
+
+  report(machine: string, tasks: TaskReport[], change: Partial<Report> = {}): void {
+    const r = this.makeReport(machine, tasks, change);
+    this.lines.push(`> ${machine} reports ${describe(r)}`);
+    const { commands, outputs } = this.scheduler.report(r, this.now);
+    for (const c of commands) this.lines.push(`answer ${c.op} ${c.job}/${c.task}#${c.attempt}`);
+    this.take(outputs);
+    this.tick();
+  }
+
+  makeReport(machine: string, tasks: TaskReport[], change: Partial<Report> = {}): Report {
+    return {
+      machine,
+      address: `${machine}:9000`,
+      type: "small",
+      zone: machine.endsWith("b") ? "b" : "a",
+      spot: false,
+      session: 1,
+      seq: this.seq++,
+      token: this.epoch,
+      noticeS: null,
+      tasks,
+      ...change,
+    };
+  }
+
+  epoch = 1;
+
+  /** The worker answers the oldest direct request with its report; null: no answer comes. */
+  answer(tasks: TaskReport[] | null, change: Partial<Report> = {}): void {
+    const o = this.pending.shift();
+    if (o === undefined) throw new Error("nothing was sent");
+    if (tasks === null) {
+      this.lines.push(`> no answer from ${o.machine}`);
+      this.take(this.scheduler.sent(o.machine, o.commands, { kind: "lost", sent: true }, this.now));
+    } else {
+      const report = this.makeReport(o.machine, tasks, change);
+      this.lines.push(`> ${o.machine} answers ${describe(report)}`);
+      this.take(
+        this.scheduler.sent(
+          o.machine,
+          o.commands,
+          { kind: "answer", executed: true, report },
+          this.now,
+        ),
+      );
+    }
+    this.tick();
+  }
+
+  take(outputs: Output[]): void {
+    for (const o of outputs) {
+      if (o.kind === "send") {
+        this.pending.push(o);
+        const c = o.commands.map((x) => `${x.op} ${x.job}/${x.task}#${x.attempt}`);
+        this.lines.push(`send ${o.machine}: ${c.length === 0 ? "fence" : c.join(", ")}`);
+      } else if (o.kind === "return") this.lines.push(`cloud return ${o.machines.join(" ")}`);
+      else if (o.kind === "bump") this.lines.push("raise the token");
+      else if (o.kind === "resign") this.lines.push(`resign: ${o.why}`);
+    }
+  }
+
+  /** What was written down since the last call. */
+  trace(): string {
+    return `\n${this.lines.splice(0).join("\n")}\n`;
+  }
+}
+
+const describe = (r: Report): string =>
+  `s${r.session} [${r.tasks
+    .map((t) => `${t.job}/${t.task}#${t.attempt} ${t.cause ?? t.state}`)
+    .join(", ")}]`;
--- /dev/null
+++ b/tests/pieces.test.ts
@@ -0,0 +1,122 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decodeOperator } from "../src/config/operator.js";
+import { Bucket } from "../src/core/bucket.js";
+import { AdaptiveLimit } from "../src/core/limit.js";
+import { Ranges } from "../src/core/ranges.js";
+import { Records } from "../src/core/records.js";
+import { Term } from "../src/core/term.js";
+import { decode, encode } from "../src/wire/msgpack.js";
+import { decodeJob } from "../src/wire/schema.js";
+import { decodeSettings } from "../src/wire/settings.js";
+import { decodeFollow } from "../src/wire/state.js";
+import { jobBody, settingsText } from "./helpers.js";
+
+test("ranges join, split and keep their count", () => {
+  const r = Ranges.parse("0-3,7");
+  for (const n of [5, 4, 6, 5]) r.add(n);
+  assert.equal(r.toString(), "0-7");
+  assert.equal(r.size, 8);
+  assert.deepEqual([...Ranges.parse("1-2,4").missing(6)], [0, 3, 5]);
+  const many = new Ranges();
+  for (let n = 0; n < 100_000; n += 2) many.add(n);
+  for (let n = 1; n < 100_000; n += 2) many.add(n);
+  assert.equal(many.toString(), "0-99999");
+});
+
+test("a submission is taken or refused by its fields", () => {
+  assert.equal(decodeJob(decode(encode(jobBody())))?.kind, "array");
+  assert.equal(decodeJob(decode(encode(jobBody({ breeds: undefined }))))?.types, null);
+  const bad: Record<string, unknown>[] = [
+    { nameId: 7 },
+    { nameId: "" },
+    { nameId: "x".repeat(200) },
+    { nameId: "a b" },
+    { gait: "toString" },
+    { rank: "urgent" },
+    { strides: 0 },
+    { strides: 1.5 },
+    { strides: 100_001 },
+    { cpus: -1 },
+    { cpus: "4" },
+    { memoryGb: Number.NaN },
+    { together: null },
+    { together: true, apart: true },
+    { cpus: 0, cards: 0, memoryGb: 0 },
+    { tack: undefined },
+    { breeds: "g8" },
+  ];
+  for (const change of bad) {
+    assert.equal(decodeJob(decode(encode(jobBody(change)))), null, JSON.stringify(change));
+  }
+  assert.equal(decodeJob([]), null);
+  assert.equal(decodeJob(undefined), null);
+});
+
+test("a removal carries no value (a schema that wanted one stopped all following)", () => {
+  const f = decodeFollow({ ledger: 9, log: [{ remove: "p/a", mark: 9 }] });
+  assert.deepEqual(f?.events, [{ key: "p/a", value: null, removed: true, mark: 9 }]);
+});
+
+test("the copy never goes back when an older answer arrives late", () => {
+  const r = new Records();
+  r.reset([], 0);
+  r.apply([{ key: "d/a", value: { s: "done", n: 3 }, removed: false, mark: 5 }], 6);
+  r.apply([{ key: "d/a", value: { s: "cancelled", n: 3 }, removed: false, mark: 4 }], 4);
+  assert.deepEqual(r.view("a"), { id: "a", state: "done", done: 3, running: 0 });
+  assert.equal(r.view("b"), null);
+  assert.equal(r.ledger, 6);
+});
+
+test("a budget refills with time and no further than its burst", () => {
+  const b = new Bucket(10, 5);
+  assert.equal(b.take(5, 0), true);
+  assert.equal(b.take(1, 0.05), false);
+  assert.equal(b.take(1, 0.1), true);
+  b.force(4, 0.1);
+  assert.equal(b.wait(1, 0.1).toFixed(2), "0.50");
+  assert.equal(b.available(100), 5);
+});
+
+test("the limit settles where requests begin to queue, and comes back", () => {
+  // A server that does four at a time in 0.1 s each: more in progress only wait longer.
+  const limit = new AdaptiveLimit(2, 200, 0.05);
+  const settle = (capacity: number, rounds: number): number => {
+    for (let i = 0; i < rounds; i++) {
+      let n = 0;
+      while (limit.enter()) n++;
+      for (let k = 0; k < n; k++) limit.leave(0.1 * Math.max(1, n / capacity));
+    }
+    return limit.current;
+  };
+  const tight = settle(4, 400);
+  assert.ok(tight >= 6 && tight <= 16, `settled at ${tight} for four at a time`);
+  const wide = settle(40, 400);
+  assert.ok(wide >= 50 && wide <= 130, `settled at ${wide} for forty at a time`);
+  const again = settle(4, 800);
+  assert.ok(again <= 20, `settled at ${again} when back to four`);
+});
+
+test("the holder stops before its lease can lapse, and answers on for a bounded time", () => {
+  const t = new Term("n0", 4, 17, 9, 3, 100);
+  assert.equal(t.acting(102.6), true);
+  assert.equal(t.acting(102.7), false);
+  assert.equal(t.answering(122, 21), true);
+  assert.equal(t.answering(124, 21), false);
+  t.renewed(101);
+  t.renewed(100.5);
+  assert.equal(t.acting(103.6), true);
+});
+
+test("bad settings are named field by field", () => {
+  const good = decodeSettings(settingsText());
+  assert.ok("settings" in good && good.settings.cluster.leaseS === 21);
+  const bad = decodeSettings(settingsText({ serve_on: "nowhere", siblings: 3 }));
+  assert.ok("faults" in bad);
+  assert.deepEqual(bad.faults.map((f) => f.split(":")[0]).sort(), ["serve_on", "siblings"]);
+  assert.ok("faults" in decodeSettings("{"));
+  const ini = decodeOperator("[term]\ngrace_ratio = 9\nnew_key = 1\n[other]\na = 1\n");
+  assert.equal(ini.faults.length, 1);
+  assert.match(ini.faults[0]!, /^term.grace_ratio/);
+  assert.deepEqual(ini.unknown, ["other", "term.new_key"]);
+});
--- /dev/null
+++ b/tests/rules.test.ts
@@ -0,0 +1,240 @@
+/** One trace for each rule of the protocol, with the failure that could break it. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Holder, spec, task } from "./helpers.js";
+
+/** A holder with two machines, one in each zone, fenced and recorded. */
+function ready(): Holder {
+  const h = new Holder();
+  h.report("m1a", []);
+  h.report("m2b", []);
+  h.trace();
+  return h;
+}
+
+test("ran_twice: a start without an answer is repeated where it was, not elsewhere", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer(null);
+  h.tick(2);
+  h.answer([task("j", 0, 1)]);
+  assert.equal(
+    h.trace(),
+    `
+> submit j
+write p/j done= at=[["m1a",1,1,"0"]]
+send m1a: start j/0#1
+> no answer from m1a
+send m1a: start j/0#1
+> m1a answers s1 [j/0#1 running]
+`,
+  );
+});
+
+test("ran_twice: nothing is sent before the placement is stored", () => {
+  const h = ready();
+  h.storing = false;
+  h.submit(spec("j"));
+  h.report("m1a", []);
+  assert.equal(h.trace(), "\n> submit j\n> m1a reports s1 []\n");
+  h.storing = true;
+  h.tick();
+  assert.match(h.trace(), /write p\/j .*\nsend m1a: start j\/0#1/);
+});
+
+test("ran_twice: a silent machine's task starts elsewhere only after the cloud took it", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer([task("j", 0, 1)]);
+  h.trace();
+  h.now += 7;
+  h.report("m2b", []);
+  assert.equal(h.trace(), "\n> m2b reports s1 []\ncloud return m1a\n");
+  h.take(h.scheduler.returned(["m1a"], true, h.now));
+  h.tick();
+  assert.equal(
+    h.trace(),
+    `
+write p/j done= at=[["m2b",1,2,"0"]]
+send m2b: start j/0#2
+`,
+  );
+});
+
+test("ran_twice: with the cloud down too, only once the worker's lease is over", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer([task("j", 0, 1)]);
+  const began = h.now;
+  let moved = 0;
+  for (let i = 0; i < 30 && moved === 0; i++) {
+    h.now += 2;
+    h.report("m2b", []);
+    if (h.trace().includes("start j/0#2")) moved = h.now - began;
+  }
+  // A former holder might have answered its reports for 21 s, and then its lease is 21 s.
+  assert.ok(moved > 42 && moved < 50, `moved after ${moved} s`);
+});
+
+test("ran_twice: an end is forgotten only when stored, and not while a start is unanswered", () => {
+  const h = ready();
+  h.submit(spec("j", { tasks: 2, cpus: 4, memoryGb: 1 }));
+  h.answer(null);
+  h.answer([task("j", 1, 1)]);
+  h.report("m1a", [task("j", 0, 1, "exited", "done")]);
+  h.trace();
+  for (let i = 0; i < 4; i++) {
+    h.now += 3;
+    h.report("m1a", [task("j", 0, 1, "exited", "done")]);
+    h.report("m2b", [task("j", 1, 1)]);
+  }
+  const t = h.trace();
+  assert.equal(/forget/.test(t), false);
+  assert.match(t, /raise the token/);
+  h.epoch = 2;
+  h.take(h.scheduler.bumped({ n: 2, mark: 50 }, h.now));
+  assert.equal(h.trace(), "\nsend m1a: fence\nsend m2b: fence\n");
+  h.answer([task("j", 0, 1, "exited", "done")]);
+  assert.match(h.trace(), /send m1a: forget j\/0#1/);
+});
+
+test("quota: a placement counts until it is proven gone", () => {
+  const h = ready();
+  // 16 CPUs at most for the team: 4 tasks of 4; two machines of 4 take two.
+  h.submit(spec("j", { tasks: 6, cpus: 4 }));
+  assert.equal(h.scheduler.cluster.usageOf("vision").cpus, 8);
+  h.answer(null);
+  h.answer(null);
+  h.cancel("j");
+  assert.equal(h.scheduler.cluster.usageOf("vision").cpus, 8);
+  h.report("m1a", [], { session: 2 });
+  assert.equal(h.scheduler.cluster.usageOf("vision").cpus, 4);
+});
+
+test("wrong_place: at most half of the tasks, rounded up, in one zone", () => {
+  const h = ready();
+  h.submit(spec("j", { tasks: 5, spread: true, kind: "service" }));
+  assert.match(
+    h.trace(),
+    /\["m1a",1,1,"0-2"\],\["m2b",1,1,"3-4"\]|\["m2b",1,1,"0-2"\],\["m1a",1,1,"3-4"\]/,
+  );
+});
+
+test("wrong_place: tasks that must share a zone wait for those of an old attempt", () => {
+  const h = ready();
+  h.submit(spec("g", { kind: "gang", tasks: 2, cpus: 2, oneZone: true }));
+  const first = h.pending[0]!.machine;
+  h.answer([task("g", 0, 1), task("g", 1, 1)]);
+  h.trace();
+  // One ends with its mates gone, the other still saves: nothing starts, in either zone.
+  h.report(first, [task("g", 0, 1, "exited", "peers"), task("g", 1, 1, "running")]);
+  assert.equal(/start/.test(h.trace()), false);
+});
+
+test("ran_cancelled: a start that may be under way is fenced off by a new token", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer(null);
+  h.cancel("j");
+  h.now += 11;
+  h.report("m1a", []);
+  h.report("m2b", []);
+  const t = h.trace();
+  assert.match(t, /raise the token/);
+  assert.equal(/d\/j cancelled/.test(t), false);
+  h.epoch = 2;
+  h.take(h.scheduler.bumped({ n: 2, mark: 50 }, h.now));
+  h.trace();
+  h.answer([]);
+  assert.match(h.trace(), /write d\/j cancelled; remove p\/j; remove x\/j/);
+});
+
+test("ran_cancelled: tasks are stopped at once and the end is stored when they are gone", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer([task("j", 0, 1)]);
+  h.trace();
+  h.cancel("j");
+  h.answer([task("j", 0, 1, "exited", "stopped")]);
+  assert.equal(
+    h.trace(),
+    `
+> cancel j
+send m1a: stop j/0#1
+write p/j done= at=[["m1a",1,1,"0"]]
+> m1a answers s1 [j/0#1 stopped]
+write d/j cancelled; remove p/j; remove x/j
+`,
+  );
+  h.report("m1a", [task("j", 0, 1, "exited", "stopped")]);
+  assert.match(h.trace(), /answer forget j\/0#1/);
+});
+
+test("went_back, not_done: the end is one write that a cancellation makes fail", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer([task("j", 0, 1)]);
+  h.storing = false;
+  h.report("m1a", [task("j", 0, 1, "exited", "done")]);
+  const w = h.scheduler.nextWrite(32, 60_000);
+  assert.deepEqual(
+    w?.conditions.map((c) => `${c.key}=${c.mark === 0 ? 0 : "n"}`),
+    ["epoch=n", "p/j=n", "d/j=0", "x/j=0"],
+  );
+  assert.deepEqual(h.records.view("j")?.state, "running");
+});
+
+test("not_done: a result is not lost with the report that told of it", () => {
+  const h = ready();
+  h.submit(spec("j", { tasks: 2 }));
+  h.answer([task("j", 0, 1, "exited", "done"), task("j", 1, 1)]);
+  h.answer([task("j", 1, 1)]);
+  h.report("m1a", [task("j", 1, 1, "exited", "done")]);
+  assert.match(h.trace(), /write d\/j done; remove p\/j/);
+});
+
+test("takeover: a placement counts until its machine is fenced, then starts again in place", () => {
+  const old = ready();
+  old.submit(spec("j"));
+  old.submit(spec("k"));
+  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  assert.equal(h.trace(), "\n\n");
+  h.tick();
+  assert.equal(h.trace(), "\nsend m1a: fence\nsend m2b: fence\n");
+  h.answer([task("j", 0, 1)]);
+  // The start of k never arrived. Older tokens are dropped from now on, so it can be sent again.
+  assert.equal(h.trace(), "\n> m1a answers s1 [j/0#1 running]\nsend m1a: start k/0#1\n");
+});
+
+test("takeover: a report with an older token proves nothing", () => {
+  const old = ready();
+  old.submit(spec("j"));
+  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  h.report("m1a", [], { token: 1 });
+  assert.equal(/start/.test(h.trace()), false);
+  assert.equal(h.scheduler.cluster.usageOf("vision").cpus, 1);
+});
+
+test("a holder that meets a higher token leaves office", () => {
+  const h = ready();
+  h.report("m1a", [], { token: 9 });
+  assert.match(h.trace(), /resign: machine m1a has seen a higher token/);
+});
+
+test("preemption never goes in circles: the stopped job cannot stop its stopper", () => {
+  const h = ready();
+  h.submit(spec("low", { tasks: 2, cpus: 4, priority: "low", team: "maps" }));
+  h.answer([task("low", 0, 1)]);
+  h.answer([task("low", 1, 1)]);
+  h.submit(spec("web", { cpus: 4, priority: "production", kind: "service" }));
+  const t = h.trace();
+  assert.match(t, /send m..: stop low\/.#1/);
+  const victim = h.pending[0]!;
+  const n = victim.commands[0]!.task;
+  h.answer([task("low", n, 1, "exited", "stopped")]);
+  assert.match(h.trace(), new RegExp(`send ${victim.machine}: .*start web/0#1`));
+  for (let i = 0; i < 5; i++) h.tick(0.5);
+  assert.equal(/stop web/.test(h.trace()), false);
+});
