Refuse at once when the state service refuses; term lease of half a report interval

Cause: a submission waited up to 3 s in a node that the state service refuses, which the users rule out.

--- a/src/api/intake.ts
+++ b/src/api/intake.ts
@@ -17,8 +17,6 @@
   readonly change: Change;
   readonly bytes: number;
   readonly deadline: number;
-  /** An earlier attempt may have been, or may yet be, executed. */
-  doubtful: boolean;
   resolve(r: IntakeResult): void;
 }
 
@@ -78,7 +76,7 @@
   private wish(conditions: Condition[], change: Change, bytes: number): Promise<IntakeResult> {
     return new Promise((resolve) => {
       const deadline = this.now() + this.patienceS;
-      this.queue.push({ conditions, change, bytes, deadline, doubtful: false, resolve });
+      this.queue.push({ conditions, change, bytes, deadline, resolve });
       if (!this.running) void this.run();
     });
   }
@@ -140,11 +138,17 @@
       else this.queue.unshift(...again);
       return;
     }
-    // Not executed, or nobody knows. Either way the same conditional write may be sent again: a
+    if (r.kind === "refused" && r.status !== 429) {
+      // The state service takes nothing from us now. Say so at once; the user comes back.
+      for (const w of batch) w.resolve("unavailable");
+      for (const w of this.queue.splice(0)) w.resolve("unavailable");
+      return;
+    }
+    // Over the limit, or nobody knows. Either way the same conditional write may be sent again: a
     // copy that still arrives and one that was executed both make it fail as `known`.
     this.queue.unshift(...batch);
-    if (r.kind === "unknown") for (const w of batch) w.doubtful = true;
+    if (r.kind === "unknown") await sleep(this.patienceS / 20);
+    else await sleep(this.patienceS / 40);
     this.expire();
-    if (this.queue.length > 0) await sleep(this.patienceS / 20);
   }
 }
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -8,7 +8,7 @@
 const schema = {
   term: z.object({
     /** Length of the term's lease, as a ratio to the workers' report interval. */
-    lease_ratio: ratio(1, 0.2, 10),
+    lease_ratio: ratio(0.5, 0.2, 10),
     /** How long a holder that lost the state service answers reports, as a ratio to lease_s. */
     grace_ratio: ratio(1, 0, 4),
   }),
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -62,7 +62,7 @@
       this.changed(t),
     );
     this.writes = new Bucket(this.writeShare(false), Math.max(2, this.writeShare(false)));
-    this.intake = new Intake(this.store, this.writes, steady, c.txnOps, TXN_BYTES, c.reportS);
+    this.intake = new Intake(this.store, this.writes, steady, c.txnOps, TXN_BYTES, c.reportS / 3);
     this.app = buildServer(this, {
       limit: new AdaptiveLimit(4, operator.maxInProgress, answerMs / 1000 / 4),
       now: steady,
