Waiting jobs go by the latest start that still meets an aim

Cause: first come first served makes everybody late in a burst. Ruled out: quota, capacity of the types (waits remain where images are fetched).

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -64,7 +64,11 @@
     this.writes = new Bucket(this.writeShare(false), Math.max(2, this.writeShare(false)));
     this.intake = new Intake(this.store, this.writes, steady, c.txnOps, TXN_BYTES, c.reportS / 3);
     this.app = buildServer(this, {
-      limit: new AdaptiveLimit(4, operator.maxInProgress, answerMs / 1000 / 4),
+      limit: new AdaptiveLimit(
+        operator.maxInProgress / 50,
+        operator.maxInProgress,
+        answerMs / 2000,
+      ),
       now: steady,
       retryAfterS: 1,
       fault: (error) => this.log.error({ err: error }, "request failed"),
--- a/src/core/limit.ts
+++ b/src/core/limit.ts
@@ -20,7 +20,7 @@
     /** A time that is good enough, in seconds: below it nothing is refused. */
     private readonly goodS: number,
   ) {
-    this.limit = min * 2;
+    this.limit = Math.sqrt(min * max);
   }
 
   get current(): number {
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -315,20 +315,38 @@
     if (job.pendingCount > 0) waiting.push(job);
     else job.waitingSince = null;
   }
-  const due = (j: LiveJob): number =>
-    j.submittedAt + 1000 * (j.spec.deadlineS ?? objectiveFor(j, ctx) ?? 10 * ctx.settings.leaseS);
+  const urgency = new Map<LiveJob, number>();
+  for (const j of waiting) urgency.set(j, latestStart(j, ctx, within));
   return waiting.sort(
     (a, b) =>
-      hold(a, within) - hold(b, within) || due(a) - due(b) || (a.spec.id < b.spec.id ? -1 : 1),
+      hold(a, within) - hold(b, within) ||
+      urgency.get(a)! - urgency.get(b)! ||
+      a.submittedAt - b.submittedAt ||
+      (a.spec.id < b.spec.id ? -1 : 1),
   );
 }
 
-/** The shortest time in which the class is expected to start or finish. */
-function objectiveFor(job: LiveJob, ctx: PlanContext): number | null {
-  let best: number | null = null;
+/**
+ * The latest time of day (ms) at which a start still meets some aim that the settings state for
+ * the job. What can meet none any more comes last: an hour's backlog served in order of arrival
+ * makes everybody late, while those who are late already lose little by waiting on.
+ */
+function latestStart(job: LiveJob, ctx: PlanContext, within: ReadonlySet<string>): number {
+  const { spec } = job;
+  let best = Infinity;
+  const consider = (afterS: number): void => {
+    const at = job.submittedAt + 1000 * afterS;
+    if (at >= ctx.wallMs && at < best) best = at;
+  };
+  // A job of which some tasks have started has its start aim behind it.
+  const begun = job.done.size > 0 || job.placements.size > 0;
+  if (spec.deadlineS !== null) consider(spec.deadlineS - spec.estimateS);
   for (const o of ctx.settings.objectives) {
-    if (o.class !== job.spec.class || o.withinS === null) continue;
-    if (best === null || o.withinS < best) best = o.withinS;
+    if (o.withinS === null) continue;
+    if (o.kind === "finished" && o.class === spec.class) consider(o.withinS - spec.estimateS);
+    else if (begun) continue;
+    else if (o.kind === "wait" && o.class === spec.class) consider(o.withinS);
+    else if (o.kind === "guarantee" && within.has(spec.id)) consider(o.withinS);
   }
   return best;
 }
