--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -33,6 +33,7 @@
   sentAt = Number.NEGATIVE_INFINITY;
   /** When the state last changed. */
   since: number;
+  readonly placedAt: number;
   runningSince = 0;
 
   constructor(
@@ -46,6 +47,7 @@
     now: number,
   ) {
     this.since = now;
+    this.placedAt = now;
   }
 
   get key(): string {
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -52,23 +52,55 @@
   return held === undefined ? own + others / m.type.fetchGbPerS : own / 2;
 }
 
-/** The most a GPU job that was seen takes of a machine for each GPU. */
-export interface GpuShape {
-  cpus: number;
-  memoryGb: number;
+/** GPU machines that other work must leave usable, and what a GPU job takes of one. */
+export interface GpuCare {
+  readonly specs: readonly JobSpec[];
+  readonly kept: ReadonlySet<Machine>;
 }
 
-/** Lower is better; in seconds of waiting, more or less. */
-function score(m: Machine, spec: JobSpec, gpuShape: GpuShape | null): number {
-  let s = imageWait(m, spec);
-  if (m.type.gpus > 0 && spec.gpus === 0 && gpuShape !== null) {
-    // Work without GPUs should leave GPUs usable: what blocks one costs as much as a boot.
-    const left = Math.min(
-      (m.freeCpus - spec.cpus) / gpuShape.cpus,
-      gpuShape.memoryGb > 0 ? (m.freeMemory - spec.memoryGb) / gpuShape.memoryGb : Infinity,
+/** The GPU job that could start on the machine now, and could not with this task on it. */
+function blocks(m: Machine, spec: JobSpec, care: GpuCare): boolean {
+  if (m.type.gpus <= 0 || spec.gpus > 0) return false;
+  return care.specs.some(
+    (g) =>
+      typeAllowed(g, m.type.name, m.zone, m.spot) &&
+      slots(g, m.freeCpus, m.freeGpus, m.freeMemory) >
+        slots(g, m.freeCpus - spec.cpus, m.freeGpus, m.freeMemory - spec.memoryGb),
+  );
+}
+
+/**
+ * Free GPU machines that are kept so: half as many as GPU work occupies, and two at least. Those
+ * that hold the images GPU jobs use come first, because fetching takes them longer than anything.
+ */
+export function careForGpus(cluster: Cluster, specs: readonly JobSpec[]): GpuCare {
+  const images = new Set<string>();
+  for (const j of cluster.jobs.values()) if (j.spec.gpus > 0) images.add(j.spec.image);
+  let busy = 0;
+  const free: { m: Machine; held: number }[] = [];
+  for (const m of cluster.machines.values()) {
+    if (m.type.gpus <= 0 || m.state !== "up" || m.drain !== null || m.takenAt !== null) continue;
+    if (m.gpusUsed > 0) busy++;
+    const fits = specs.some(
+      (g) =>
+        typeAllowed(g, m.type.name, m.zone, m.spot) &&
+        slots(g, m.freeCpus, m.freeGpus, m.freeMemory) > 0,
     );
-    if (left < m.freeGpus && m.freeGpus > 0) s += m.type.bootS * 2;
+    if (!fits) continue;
+    let held = 0;
+    for (const [name, i] of m.images) if (i.ready && images.has(name)) held += i.gb;
+    free.push({ m, held });
   }
+  free.sort((a, b) => b.held - a.held || (a.m.name < b.m.name ? -1 : 1));
+  const keep = Math.max(2, Math.ceil(busy / 2));
+  return { specs, kept: new Set(free.slice(0, keep).map((f) => f.m)) };
+}
+
+/** Lower is better; in seconds of waiting, more or less. */
+function score(m: Machine, spec: JobSpec, care: GpuCare): number {
+  let s = imageWait(m, spec);
+  // Work without GPUs should leave GPUs usable: what blocks one costs as much as a boot.
+  if (blocks(m, spec, care)) s += m.type.bootS * 2;
   if (spec.kind === "service") {
     // Replicas apart from one another, so that a machine's end takes few.
     for (const p of m.placements.values()) if (p.job.spec.kind === "service") s += 0.2;
@@ -104,7 +136,11 @@
   return null;
 }
 
-function candidates(job: LiveJob, ctx: PlanContext, gpuShape: GpuShape | null): Candidate[] {
+/** It has waited so long that any place will do. */
+const desperate = (job: LiveJob, ctx: PlanContext): boolean =>
+  job.waitingSince !== null && ctx.now - job.waitingSince > 2 * ctx.settings.reportS;
+
+function candidates(job: LiveJob, ctx: PlanContext, care: GpuCare): Candidate[] {
   const out: Candidate[] = [];
   const zone = boundZone(job);
   for (const m of ctx.cluster.machines.values()) {
@@ -112,8 +148,24 @@
     if (zone !== null && m.zone !== zone) continue;
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
     if (job.errorMachines.has(m.name)) continue;
-    const fits = slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory);
-    if (fits > 0) out.push({ machine: m, fits, score: score(m, job.spec, gpuShape) });
+    let fits = slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory);
+    // A replica stays for long. It takes a GPU away only when there was time to make room elsewhere.
+    if (
+      fits > 0 &&
+      job.spec.kind === "service" &&
+      !desperate(job, ctx) &&
+      blocks(m, job.spec, care)
+    )
+      continue;
+    if (fits > 0 && job.spec.gpus === 0 && job.spec.priority !== "production" && care.kept.has(m)) {
+      // What is left beside the GPU job that this machine is kept for.
+      for (const g of care.specs) {
+        if (slots(g, m.freeCpus, m.freeGpus, m.freeMemory) < 1) continue;
+        const beside = slots(job.spec, m.freeCpus - g.cpus, Infinity, m.freeMemory - g.memoryGb);
+        fits = Math.min(fits, beside);
+      }
+    }
+    if (fits > 0) out.push({ machine: m, fits, score: score(m, job.spec, care) });
   }
   return out.sort((a, b) => a.score - b.score || (a.machine.name < b.machine.name ? -1 : 1));
 }
@@ -148,8 +200,11 @@
         task: `${job.spec.id}/${p.task}`,
         attempt,
         machine: c.machine.name,
+        type: c.machine.type.name,
         zone: c.machine.zone,
-        why: imageWait(c.machine, job.spec) === 0 ? "image there" : "free room",
+        class: job.spec.class,
+        waitedS: Math.round((ctx.wallMs - job.submittedAt) / 100) / 10,
+        imageS: Math.round(c.score * 10) / 10,
       });
     }
     if (next >= tasks.length) break;
@@ -176,10 +231,10 @@
 }
 
 /** A gang goes out whole and only when nothing of an earlier attempt is left. */
-function placeGang(job: LiveJob, ctx: PlanContext, gpuShape: GpuShape | null): boolean {
+function placeGang(job: LiveJob, ctx: PlanContext, care: GpuCare): boolean {
   if (job.present > 0) return false;
   if (ctx.cluster.quotaSlots(job.spec) < job.spec.tasks) return false;
-  const all = candidates(job, ctx, gpuShape);
+  const all = candidates(job, ctx, care);
   const tasks = take(job.pending(), job.spec.tasks);
   const groups = job.spec.oneZone
     ? [...new Set(all.map((c) => c.machine.zone))].map((z) =>
@@ -212,7 +267,7 @@
   return true;
 }
 
-function placeTasks(job: LiveJob, ctx: PlanContext, gpuShape: GpuShape | null): void {
+function placeTasks(job: LiveJob, ctx: PlanContext, care: GpuCare): void {
   const quota = ctx.cluster.quotaSlots(job.spec);
   if (quota <= 0) return;
   // Each machine and run of tasks takes a few dozen bytes of the pipeline's one value.
@@ -220,7 +275,7 @@
   const entries = Math.floor((0.8 * ctx.valueBytes - job.size) / 48);
   const tasks = take(job.pending(), Math.min(quota, Math.max(entries, 1) * 4));
   if (tasks.length === 0) return;
-  place(job, tasks, candidates(job, ctx, gpuShape).slice(0, Math.max(entries, 1)), ctx);
+  place(job, tasks, candidates(job, ctx, care).slice(0, Math.max(entries, 1)), ctx);
 }
 
 /**
@@ -259,6 +314,7 @@
   job: LiveJob,
   ctx: PlanContext,
   within: ReadonlySet<string>,
+  care: GpuCare,
 ): { machine: Machine; victims: Placement[] } | null {
   if (ctx.cluster.quotaSlots(job.spec) <= 0) return null;
   const room = spreadRoom(job);
@@ -282,6 +338,16 @@
       memory += p.job.spec.memoryGb;
     }
     const victims: Placement[] = [];
+    if (job.spec.kind === "service" && !desperate(job, ctx)) {
+      // With all that may be stopped gone, would a replica here keep a GPU job out?
+      const empty = care.specs.some(
+        (g) =>
+          typeAllowed(g, m.type.name, m.zone, m.spot) &&
+          slots(g, m.type.cpus - job.spec.cpus, m.type.gpus, m.type.memoryGb) <
+            slots(g, m.type.cpus, m.type.gpus, m.type.memoryGb),
+      );
+      if (empty && m.type.gpus > 0) continue;
+    }
     let cost = imageWait(m, job.spec);
     const order = [...m.placements.values()]
       .filter((p) => mayPreempt(job, p, within))
@@ -355,14 +421,14 @@
 export function plan(
   ctx: PlanContext,
   within: ReadonlySet<string>,
-  gpuShape: GpuShape | null,
+  care: GpuCare,
   mayStart: (job: LiveJob) => boolean,
 ): LiveJob[] {
   const left: LiveJob[] = [];
   for (const job of order(ctx, within)) {
     if (!mayStart(job)) continue;
-    if (job.spec.kind === "gang") placeGang(job, ctx, gpuShape);
-    else placeTasks(job, ctx, gpuShape);
+    if (job.spec.kind === "gang") placeGang(job, ctx, care);
+    else placeTasks(job, ctx, care);
     if (job.pendingCount > 0) {
       job.waitingSince ??= ctx.now;
       left.push(job);
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -18,7 +18,15 @@
   type TaskReport,
 } from "./model.js";
 import { acceptable, eventName, occur } from "./pipeline.js";
-import { type GpuShape, makeRoom, type PlanContext, plan, rankOf, typeAllowed } from "./planner.js";
+import {
+  careForGpus,
+  type GpuCare,
+  makeRoom,
+  type PlanContext,
+  plan,
+  rankOf,
+  typeAllowed,
+} from "./planner.js";
 import { KEY, type Records, type StoredFinal, type StoredMachine } from "./records.js";
 import { freeSlots, offerKey, type RentContext, type Shape, surplus, wanted } from "./renting.js";
 
@@ -92,7 +100,6 @@
   private machineRecords = new Map<string, boolean>();
   private bumping = false;
   private bumpedAt: number;
-  private gpuShape: GpuShape | null = null;
   /** Set while a write is out whose result is not known: nothing else may be written. */
   private writing = false;
 
@@ -189,14 +196,6 @@
     const s = this.shapes.get(spec.class);
     if (s === undefined) this.shapes.set(spec.class, { spec, running: 0 });
     else this.shapes.set(spec.class, { spec, running: s.running });
-    if (spec.gpus > 0) {
-      const cpus = spec.cpus / spec.gpus;
-      const memoryGb = spec.memoryGb / spec.gpus;
-      this.gpuShape = {
-        cpus: Math.max(cpus, this.gpuShape?.cpus ?? 0),
-        memoryGb: Math.max(memoryGb, this.gpuShape?.memoryGb ?? 0),
-      };
-    }
   }
 
   private cancel(job: LiveJob, now: number): void {
@@ -378,7 +377,16 @@
       }
       this.trimImages(p.machine);
     }
-    if (t.state === "running") p.runningSince = now;
+    if (t.state === "running" && p.state !== "saving") {
+      p.runningSince = now;
+      this.log("running", {
+        task: `${p.job.spec.id}/${p.task}`,
+        machine: p.machine.name,
+        class: p.job.spec.class,
+        imageGb: p.job.spec.imageGb,
+        tookS: Math.round((now - p.placedAt) * 10) / 10,
+      });
+    }
     p.state = t.state;
     p.since = now;
   }
@@ -651,8 +659,10 @@
         m.reservedFor = null;
       }
     }
-    this.waiting = plan(ctx, within, this.gpuShape, (job) => this.acceptStart(job));
-    for (const job of this.waiting) this.preempt(job, ctx, within);
+    const gpuSpecs = [...this.shapes.values()].map((s) => s.spec).filter((s) => s.gpus > 0);
+    const care = careForGpus(this.cluster, gpuSpecs);
+    this.waiting = plan(ctx, within, care, (job) => this.acceptStart(job));
+    for (const job of this.waiting) this.preempt(job, ctx, within, care);
   }
 
   /** The algebra decides whether the start is accepted; the write that holds it makes it so. */
@@ -667,7 +677,12 @@
     return true;
   }
 
-  private preempt(job: LiveJob, ctx: PlanContext, within: ReadonlySet<string>): void {
+  private preempt(
+    job: LiveJob,
+    ctx: PlanContext,
+    within: ReadonlySet<string>,
+    care: GpuCare,
+  ): void {
     const rank = rankOf(job.spec.priority);
     if (rank > 1 && !within.has(job.spec.id)) return;
     // Stopping costs work: what is not urgent waits a moment for room to come up by itself.
@@ -681,7 +696,7 @@
       }
     }
     for (let i = 0; need > 0 && i < 8; i++) {
-      const found = makeRoom(job, ctx, within);
+      const found = makeRoom(job, ctx, within, care);
       if (found === null || found.machine.reservedFor !== null) return;
       found.machine.reservedFor = {
         job: job.spec.id,
