--- a/src/core/limit.ts
+++ b/src/core/limit.ts
@@ -3,16 +3,15 @@
  *
  * While requests take about as long as the best lately seen, the limit grows by the square root of
  * itself; when they take longer it shrinks in proportion. So it settles where a queue would begin.
+ * A best time learnt under load would hide the queue it was learnt in, so while times are not good
+ * the limit is cut now and then, and the best is learnt again.
  */
 export class AdaptiveLimit {
   private limit: number;
   private inProgress = 0;
-  /**
-   * Shortest time seen, let up slowly so that it follows a change of the machine: by the same share
-   * for each full round of requests, as a step for each request would let a busy hour hide a queue.
-   */
   private best = Number.POSITIVE_INFINITY;
   private smoothed = 0;
+  private sinceCut = 0;
 
   constructor(
     private readonly min: number,
@@ -40,12 +39,20 @@
   leave(tookS: number): void {
     const full = this.inProgress >= this.limit / 2;
     this.inProgress--;
-    this.best = Math.min(this.best * (1 + 1e-4 / this.limit), tookS);
+    this.best = Math.min(this.best, tookS);
     this.smoothed = this.smoothed === 0 ? tookS : 0.9 * this.smoothed + 0.1 * tookS;
-    const usual = Math.max(this.goodS, 2 * this.best);
-    const gradient = Math.max(0.5, Math.min(1, usual / this.smoothed));
-    if (gradient < 1) this.limit = this.limit * (0.98 + 0.02 * gradient);
-    else if (full) this.limit += Math.sqrt(this.limit) / this.limit;
+    this.sinceCut++;
+    if (this.smoothed > this.goodS && this.sinceCut > 50 * this.limit) {
+      this.sinceCut = 0;
+      this.limit /= 4;
+      this.best = Number.POSITIVE_INFINITY;
+      this.smoothed = 0;
+    } else {
+      const usual = Math.max(this.goodS, 2 * this.best);
+      const gradient = Math.max(0.5, Math.min(1, usual / this.smoothed));
+      if (gradient < 1) this.limit *= 0.98 + 0.02 * gradient;
+      else if (full) this.limit += 1 / Math.sqrt(this.limit);
+    }
     this.limit = Math.max(this.min, Math.min(this.max, this.limit));
   }
 }
