--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -57,6 +57,8 @@
     reply.code(status).header("content-type", "application/msgpack").send(encode(body));
   const refuse = (reply: FastifyReply, status: number, error: string): FastifyReply => {
     reply.header("retry-after", String(Math.max(1, Math.ceil(options.retryAfterS))));
+    // Connections are not moved between nodes: one that we cannot serve is better opened anew.
+    if (status === 503) reply.header("connection", "close");
     return send(reply, status, { error });
   };
   const unpack = (body: unknown): unknown => {
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -14,6 +14,7 @@
 import { KEY, Records, type StoredLead, type Touched } from "./core/records.js";
 import { canEverRun, type Output, Scheduler, type Write } from "./core/scheduler.js";
 import { Term } from "./core/term.js";
+import { Mesh } from "./mesh/mesh.js";
 import { Follower } from "./state/follower.js";
 import { Store } from "./state/store.js";
 import type { Settings } from "./wire/settings.js";
@@ -31,6 +32,7 @@
   private readonly workers: Workers;
   private readonly follower: Follower;
   private readonly intake: Intake;
+  private readonly mesh: Mesh;
   private readonly writes: Bucket;
   private readonly app: FastifyInstance;
   private types: readonly MachineType[] = [];
@@ -63,6 +65,17 @@
     );
     this.writes = new Bucket(this.writeShare(false), Math.max(2, this.writeShare(false)));
     this.intake = new Intake(this.store, this.writes, steady, c.txnOps, TXN_BYTES, c.reportS / 3);
+    this.mesh = new Mesh(
+      settings.meshAddress,
+      settings.siblings.map((x) => x.address),
+      steady,
+      c.reportS / 8,
+      () => ({
+        stateOk: this.stateOk(),
+        holds: this.term !== null,
+        epoch: this.records.epoch.value.n,
+      }),
+    );
     this.app = buildServer(this, {
       limit: new AdaptiveLimit(
         operator.maxInProgress / 50,
@@ -86,6 +99,7 @@
     await this.app.listen({ host, port: Number(port) });
     this.log.info({ member: this.settings.member, on: this.settings.serveOn }, "listening");
     void this.follower.run();
+    await this.mesh.start();
     void this.catalogLoop();
     void this.tickLoop();
   }
@@ -93,16 +107,30 @@
   async stop(): Promise<void> {
     this.stopped = true;
     this.follower.stop();
+    this.mesh.stop();
     await this.app.close();
   }
 
   // ---------------------------------------------------------------- users
 
+  /** The watch comes back several times in this time, so silence means that we are cut off. */
+  private stateOk(): boolean {
+    return (
+      this.follower.loaded &&
+      steady() - this.store.lastAnswer < (2 * this.settings.cluster.reportS) / 3
+    );
+  }
+
+  /**
+   * A node that alone cannot reach the state service is of no use to users. If no other reaches
+   * it either, it is down for all, and being passed over would only delay the return.
+   */
   healthy(): boolean {
-    return this.follower.loaded && steady() - this.store.lastAnswer < this.settings.cluster.leaseS;
+    return this.follower.loaded && (this.stateOk() || !this.mesh.siblingReachesState());
   }
 
   async read(id: string): Promise<JobView | null | "unavailable"> {
+    if (!this.stateOk()) return "unavailable";
     return (await this.follower.catchUp()) ? this.records.view(id) : "unavailable";
   }
 
@@ -113,11 +141,13 @@
     return canEverRun(spec, c, this.types) ? "fits" : "never";
   }
 
-  submit(spec: JobSpec) {
+  async submit(spec: JobSpec) {
+    if (!this.stateOk()) return "unavailable" as const;
     return this.intake.submit(spec, Date.now());
   }
 
-  cancel(id: string) {
+  async cancel(id: string) {
+    if (!this.stateOk()) return "unavailable" as const;
     return this.intake.cancel(id, Date.now());
   }
 
--- a/tests/pieces.test.ts
+++ b/tests/pieces.test.ts
@@ -6,6 +6,7 @@
 import { Ranges } from "../src/core/ranges.js";
 import { Records } from "../src/core/records.js";
 import { Term } from "../src/core/term.js";
+import { BeatReader, encodeBeat } from "../src/mesh/codec.js";
 import { decode, encode } from "../src/wire/msgpack.js";
 import { decodeJob } from "../src/wire/schema.js";
 import { decodeSettings } from "../src/wire/settings.js";
@@ -120,3 +121,17 @@
   assert.match(ini.faults[0]!, /^term.grace_ratio/);
   assert.deepEqual(ini.unknown, ["other", "term.new_key"]);
 });
+
+test("beats come out whole however the stream is cut, and strangers are turned away", () => {
+  const a = encodeBeat({ stateOk: true, holds: false, epoch: 2 ** 40 + 1 });
+  const b = encodeBeat({ stateOk: false, holds: true, epoch: 0 });
+  assert.equal(a.toString("hex"), "50010009010000010000000001");
+  const reader = new BeatReader();
+  const got = [...Buffer.concat([a, b, a])].flatMap((byte) => reader.feed(Buffer.from([byte])));
+  assert.deepEqual(got, [
+    { stateOk: true, holds: false, epoch: 2 ** 40 + 1 },
+    { stateOk: false, holds: true, epoch: 0 },
+    { stateOk: true, holds: false, epoch: 2 ** 40 + 1 },
+  ]);
+  assert.throws(() => new BeatReader().feed(Buffer.from("GET / HTTP/1.1")));
+});
