--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -400,8 +400,9 @@
 function latestStart(job: LiveJob, ctx: PlanContext, within: ReadonlySet<string>): number {
   const { spec } = job;
   let best = Infinity;
+  const imageS = fetchS(job, ctx);
   const consider = (afterS: number): void => {
-    const at = job.submittedAt + 1000 * afterS;
+    const at = job.submittedAt + 1000 * (afterS - imageS);
     if (at >= ctx.wallMs && at < best) best = at;
   };
   // A job of which some tasks have started has its start aim behind it.
@@ -417,6 +418,22 @@
   return best;
 }
 
+/** Seconds that the job's image takes where it could run, or none if a machine free now holds it. */
+function fetchS(job: LiveJob, ctx: PlanContext): number {
+  let rate = 0;
+  for (const m of ctx.cluster.machines.values()) {
+    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb) < 1) continue;
+    rate = Math.max(rate, m.type.fetchGbPerS);
+    if (
+      m.images.get(job.spec.image)?.ready &&
+      slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory) > 0
+    )
+      return 0;
+  }
+  return rate > 0 ? job.spec.imageGb / rate : 0;
+}
+
 /** One pass over all that waits. Returns the jobs that still have tasks waiting for room. */
 export function plan(
   ctx: PlanContext,
