--- a/src/controller.ts
+++ b/src/controller.ts
@@ -39,6 +39,8 @@
   private term: Term | null = null;
   private scheduler: Scheduler | null = null;
   private acquiring = false;
+  /** After it left office of itself, a node lets the others go first until then. */
+  private standBackUntil = Number.NEGATIVE_INFINITY;
   private tickQueued = false;
   private writing = false;
   private bumpWanted = false;
@@ -143,7 +145,9 @@
 
   async submit(spec: JobSpec) {
     if (!this.stateOk()) return "unavailable" as const;
-    return this.intake.submit(spec, Date.now());
+    // Types that do not exist change nothing, and could make the stored value too large.
+    const known = spec.types?.filter((t) => this.types.some((x) => x.name === t)) ?? null;
+    return this.intake.submit({ ...spec, types: known }, Date.now());
   }
 
   async cancel(id: string) {
@@ -175,7 +179,25 @@
 
   // ---------------------------------------------------------------- the term
 
+  /**
+   * A fault in the core must not end the process, nor leave a holder in office whose view may be
+   * half changed: whoever takes the term next starts from the records.
+   */
+  private guarded(f: () => void): void {
+    try {
+      f();
+    } catch (error) {
+      this.log.error({ err: error as Error }, "fault in the core");
+      this.standBackUntil = steady() + this.settings.cluster.reportS;
+      this.lose("fault in the core");
+    }
+  }
+
   private changed(touched: Touched | null): void {
+    this.guarded(() => this.takeChanges(touched));
+  }
+
+  private takeChanges(touched: Touched | null): void {
     const now = steady();
     if (this.scheduler !== null && this.term !== null) {
       const lead = this.records.lead?.value;
@@ -323,13 +345,18 @@
   }
 
   private tick(): void {
+    this.guarded(() => this.tickOnce());
+  }
+
+  private tickOnce(): void {
     const now = steady();
     const { term, scheduler } = this;
     if (term === null || scheduler === null) {
       const lead = this.records.lead;
       if (!this.follower.loaded || this.types.length === 0 || this.acquiring) return;
-      if (lead === null) void this.acquire();
-      else if (lead.value.member === this.settings.member) {
+      if (lead === null) {
+        if (now >= this.standBackUntil) void this.acquire();
+      } else if (lead.value.member === this.settings.member) {
         // The term of this node's former life: nobody acts for it any more.
         this.acquiring = true;
         void this.store.revoke(lead.value.lease).then(async () => {
@@ -439,7 +466,7 @@
     /** Results of a scheduler that is no longer in office are dropped. */
     const back = (f: () => Output[]): void => {
       if (this.scheduler !== scheduler) return;
-      this.perform(f());
+      this.guarded(() => this.perform(f()));
       this.queueTick();
     };
     const acting = term.acting(steady());
@@ -483,6 +510,7 @@
         this.bumpWanted = true;
         return;
       case "resign":
+        this.standBackUntil = steady() + 2 * this.settings.cluster.reportS;
         this.lose(o.why);
         return;
     }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -100,6 +100,8 @@
   private machineRecords = new Map<string, boolean>();
   private bumping = false;
   private bumpedAt: number;
+  private watchedAt = Number.NEGATIVE_INFINITY;
+  private watchAfter = Number.NEGATIVE_INFINITY;
   /** Set while a write is out whose result is not known: nothing else may be written. */
   private writing = false;
 
@@ -719,9 +721,22 @@
     const up = [...this.cluster.machines.values()].filter(
       (m) => m.state === "up" || m.state === "returning",
     );
-    const silent = up.filter((m) => now - m.lastHeard > 2 * reportS);
-    // When many fall silent at once it is more likely us than them.
-    const believable = silent.length <= Math.max(2, up.length / 4);
+    // A process that was held up finds everybody silent: first let it read what has come in.
+    const heldUp = now - this.watchedAt > reportS / 3;
+    this.watchedAt = now;
+    if (heldUp) this.watchAfter = now + reportS / 3;
+    if (now < this.watchAfter) return;
+    // When many are overdue at once it is more likely us than them. Reports come within 1.25
+    // intervals, and those that fell silent together are all overdue before the first is given up.
+    const overdue = up.filter((m) => now - m.lastHeard > 1.3 * reportS).length;
+    const believable = overdue <= Math.max(2, up.length / 4);
+    // Hardly anything is heard, and time enough to hear: another node may be better placed.
+    const known = up.filter((m) => m.session > 0);
+    const heard = known.filter((m) => now - m.lastHeard <= 1.6 * reportS).length;
+    if (known.length > 2 && heard < known.length / 3 && now - this.startedAt > 3 * reportS) {
+      this.out.push({ kind: "resign", why: `hears ${heard} of ${known.length} workers` });
+      return;
+    }
     for (const m of up) {
       const quiet = now - m.lastHeard;
       if (
--- a/src/main.ts
+++ b/src/main.ts
@@ -53,6 +53,7 @@
       { level: process.env.LOG_LEVEL ?? "info", base: { member: settings.member } },
       pino.destination({ fd: 2, sync: true }),
     );
+    process.on("unhandledRejection", (error) => log.error({ err: error }, "unhandled fault"));
     for (const key of unknown) log.warn({ key }, "unknown operator setting");
     await new Controller(settings, operator, log).start();
   });
