Slow machines are found by their tasks, emptied and given back

Ruled out: the estimates, which are off by half too often to tell. Also: a job that meets errors on many machines is not shut out of all for ever.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -35,6 +35,8 @@
   since: number;
   readonly placedAt: number;
   runningSince = 0;
+  /** Its start was seen under this holder, so that its run time is known. */
+  timed = false;
 
   constructor(
     readonly job: LiveJob,
@@ -94,6 +96,8 @@
   readonly images = new Map<string, { at: number; gb: number; ready: boolean }>();
   /** Jobs that failed here lately. */
   readonly failedJobs = new Set<string>();
+  /** Tasks that took far longer here than others of their job. */
+  readonly slowTasks = new Set<string>();
   /** Not used for new work; it is returned once empty. */
   drain: string | null = null;
   refusedUntil = Number.NEGATIVE_INFINITY;
@@ -155,6 +159,8 @@
   backoffUntil = Number.NEGATIVE_INFINITY;
   errors = 0;
   readonly errorMachines = new Set<string>();
+  /** Run times of tasks that completed, in seconds. */
+  readonly runTimes: number[] = [];
   anyDone = false;
   /** Time at which tasks of it first waited for room. */
   waitingSince: number | null = null;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -79,6 +79,9 @@
   readonly graceS: number;
 }
 
+/** A task this many times slower than the middle one of its job speaks against its machine. */
+const SLOW_RATIO = 2.5;
+
 export class Scheduler {
   readonly cluster: Cluster;
   private readonly shapes = new Map<string, Shape>();
@@ -100,6 +103,7 @@
   private machineRecords = new Map<string, boolean>();
   private bumping = false;
   private bumpedAt: number;
+  private slowCheckedAt = Number.NEGATIVE_INFINITY;
   private watchedAt = Number.NEGATIVE_INFINITY;
   private watchAfter = Number.NEGATIVE_INFINITY;
   /** Set while a write is out whose result is not known: nothing else may be written. */
@@ -381,6 +385,7 @@
     }
     if (t.state === "running" && p.state !== "saving") {
       p.runningSince = now;
+      p.timed = p.state !== "loaded";
       this.log("running", {
         task: `${p.job.spec.id}/${p.task}`,
         machine: p.machine.name,
@@ -410,6 +415,7 @@
     if (p !== undefined) {
       if (t.cause === "done") {
         p.machine.images.set(p.job.spec.image, { at: now, gb: p.job.spec.imageGb, ready: true });
+        if (p.timed && p.job.runTimes.length < 256) p.job.runTimes.push(now - p.runningSince);
       }
       this.release(p, now);
       this.afterExit(p, t, now);
@@ -453,7 +459,7 @@
       job.errorMachines.add(p.machine.name);
       const usual = this.settings.reportS;
       job.backoffUntil = now + Math.min(10 * usual, usual * 2 ** Math.min(job.errors - 1, 5));
-      if (job.errorMachines.size > 3 && !job.anyDone) {
+      if (job.errorMachines.size > (job.anyDone ? this.cluster.machines.size / 4 : 3)) {
         // It fails wherever it goes: the job is at fault. Go on trying, anywhere.
         for (const name of job.errorMachines) {
           this.cluster.machines.get(name)?.failedJobs.delete(job.spec.id);
@@ -624,6 +630,7 @@
   tick(now: number, wallMs: number): Output[] {
     this.watchMachines(now);
     this.checkDoubts(now);
+    this.findSlow(now);
     if (this.typesKnown && (this.needPlan || now - this.plannedAt > this.settings.reportS / 3)) {
       this.replan(now, wallMs);
     }
@@ -768,6 +775,33 @@
     }
   }
 
+  /**
+   * A machine on which several tasks run far longer than others of their jobs is faulty: it is
+   * emptied and given back. Few at a time, in case it is the jobs after all.
+   */
+  private findSlow(now: number): void {
+    if (now - this.slowCheckedAt < this.settings.reportS) return;
+    this.slowCheckedAt = now;
+    for (const job of this.cluster.jobs.values()) {
+      if (job.spec.kind !== "array" || job.runTimes.length < Math.max(3, job.spec.tasks / 4))
+        continue;
+      const sorted = [...job.runTimes].sort((a, b) => a - b);
+      const usual = sorted[sorted.length >> 1]!;
+      for (const p of job.placements.values()) {
+        if (p.state !== "running" || !p.timed) continue;
+        if (now - p.runningSince > SLOW_RATIO * usual + this.settings.reportS) {
+          p.machine.slowTasks.add(p.key);
+        }
+      }
+    }
+    const machines = [...this.cluster.machines.values()];
+    if (machines.some((m) => m.drain === "slow")) return;
+    const worst = machines
+      .filter((m) => m.state === "up" && m.drain === null && m.slowTasks.size >= 2)
+      .sort((a, b) => b.slowTasks.size - a.slowTasks.size)[0];
+    if (worst !== undefined) this.drain(worst, "slow", now);
+  }
+
   /** Unanswered starts that matter (cancelled, or ended and not to be forgotten) need a new token. */
   private checkDoubts(now: number): void {
     if (this.bumping || now - this.bumpedAt < this.settings.leaseS / 2) return;
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -256,3 +256,38 @@
   assert.match(t, /resign: hears 1 of 4 workers/);
   assert.equal(/cloud return/.test(t), false);
 });
+
+test("a machine on which tasks take far longer than elsewhere is emptied and given back", () => {
+  const h = ready();
+  h.submit(spec("j", { tasks: 8 }));
+  const on = (m: string): number[] =>
+    [...h.scheduler.cluster.jobs.get("j")!.placements.values()]
+      .filter((p) => p.machine.name === m)
+      .map((p) => p.task);
+  const fast = on("m1a");
+  const slow = on("m2b");
+  assert.deepEqual([fast.length, slow.length], [4, 4]);
+  h.report(
+    "m1a",
+    fast.map((n) => task("j", n, 1)),
+  );
+  h.report(
+    "m2b",
+    slow.map((n) => task("j", n, 1)),
+  );
+  for (let i = 0; i < 40; i++) {
+    h.tick(1);
+    h.report(
+      "m1a",
+      i < 9 ? fast.map((n) => task("j", n, 1)) : fast.map((n) => task("j", n, 1, "exited", "done")),
+    );
+    h.report(
+      "m2b",
+      slow.map((n) => task("j", n, 1)),
+    );
+  }
+  const t = h.trace();
+  assert.match(t, /stop j\/\d#1/);
+  assert.equal(h.scheduler.cluster.machines.get("m2b")?.drain, "slow");
+  assert.equal(h.scheduler.cluster.machines.get("m1a")?.drain, null);
+});
