--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -31,8 +31,6 @@
   inFlight = 0;
   stop: Stop | null = null;
   sentAt = Number.NEGATIVE_INFINITY;
-  /** When the state last changed. */
-  since: number;
   readonly placedAt: number;
   runningSince = 0;
   /** Its start was seen under this holder, so that its run time is known. */
@@ -48,7 +46,6 @@
     readonly version: number,
     now: number,
   ) {
-    this.since = now;
     this.placedAt = now;
   }
 
@@ -105,7 +102,6 @@
   cpusUsed = 0;
   gpusUsed = 0;
   memoryUsed = 0;
-  returnAskedAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     readonly name: string,
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -27,8 +27,9 @@
   rankOf,
   typeAllowed,
 } from "./planner.js";
+import { Ranges } from "./ranges.js";
 import { KEY, type Records, type StoredFinal, type StoredMachine } from "./records.js";
-import { freeSlots, offerKey, type RentContext, type Shape, surplus, wanted } from "./renting.js";
+import { offerKey, type RentContext, type Shape, surplus, wanted } from "./renting.js";
 
 export type Output =
   | {
@@ -133,7 +134,7 @@
       this.firstContact(machine);
     }
     for (const id of records.live.keys()) this.recordChanged(records, id, now);
-    return this.flush(now);
+    return this.flush();
   }
 
   private firstContact(m: Machine): void {
@@ -189,7 +190,7 @@
         this.cluster.machines.set(name, m);
         this.askReturn(m, "no record of it");
       }
-      for (const task of rangesOf(tasks)) {
+      for (const task of Ranges.parse(tasks)) {
         const p = new Placement(job, task, attempt, m, session, 0, now);
         p.state = "loaded";
         this.cluster.add(p);
@@ -223,11 +224,11 @@
   /** A worker's report came in and is answered with these commands. */
   report(r: Report, now: number): { commands: Command[]; outputs: Output[] } {
     const m = this.hear(r, now);
-    if (m === null) return { commands: [], outputs: this.flush(now) };
+    if (m === null) return { commands: [], outputs: this.flush() };
     m.lastRenewed = Math.max(m.lastRenewed, now);
     // Stops and forgets can be repeated; starts go only where their fate can be known.
     const commands = m.fenced ? this.commandsFor(m, now, false) : [];
-    return { commands, outputs: this.flush(now) };
+    return { commands, outputs: this.flush() };
   }
 
   /** The former holder, while it may not act, answered a report without commands. */
@@ -260,7 +261,7 @@
     if (outcome.kind === "lost") m.directAfter = now + this.settings.reportS / 3;
     else this.hear(outcome.report, now);
     this.pump(m, now);
-    return this.flush(now);
+    return this.flush();
   }
 
   shown(machine: string, report: Report | null, now: number): Output[] {
@@ -269,7 +270,7 @@
     m.busy = false;
     if (report === null) m.directAfter = now + this.settings.reportS / 3;
     else this.hear(report, now);
-    return this.flush(now);
+    return this.flush();
   }
 
   private machine(
@@ -395,7 +396,6 @@
       });
     }
     p.state = t.state;
-    p.since = now;
   }
 
   /** Machines keep the most recently used images; what no longer fits is thought gone. */
@@ -420,7 +420,7 @@
       this.release(p, now);
       this.afterExit(p, t, now);
     }
-    if (job !== undefined && t.cause === "done") this.taskDone(job, t.task, now);
+    if (job !== undefined && t.cause === "done") this.taskDone(job, t.task);
     m.ended.set(key, {
       job: t.job,
       task: t.task,
@@ -429,7 +429,7 @@
     });
   }
 
-  private taskDone(job: LiveJob, task: number, now: number): void {
+  private taskDone(job: LiveJob, task: number): void {
     if (job.spec.kind === "service" || task >= job.spec.tasks) return;
     job.anyDone = true;
     // The tasks of a gang complete together: if one is done, all are.
@@ -442,7 +442,6 @@
     }
     if (job.complete) this.log("all tasks done", { job: job.spec.id, tasks: job.spec.tasks });
     this.needPlan = true;
-    void now;
   }
 
   private afterExit(p: Placement, t: TaskReport, now: number): void {
@@ -467,7 +466,7 @@
         job.errorMachines.clear();
       } else p.machine.failedJobs.add(job.spec.id);
       if (p.machine.failedJobs.size >= 2 && p.machine.drain === null) {
-        this.drain(p.machine, "different jobs fail on it", now);
+        this.drain(p.machine, "different jobs fail on it");
       }
     } else if (t.cause === "no_room" || t.cause === "busy") {
       p.machine.refusedUntil = now + this.settings.reportS;
@@ -520,7 +519,6 @@
   /** A task runs that our records do not hold: it counts while it is there, and is stopped. */
   private stray(m: Machine, t: TaskReport, now: number): void {
     const job = this.cluster.jobs.get(t.job);
-    const key = taskKey(t.job, t.task, t.attempt);
     this.log("stray task", { task: `${t.job}/${t.task}`, attempt: t.attempt, machine: m.name });
     if (job === undefined) {
       // Its job is over, so stop it outright; nothing else can be booked for it.
@@ -531,11 +529,10 @@
     p.state = t.state === "exited" ? "running" : t.state;
     this.cluster.add(p, true);
     this.stop(p, "not in the records", 0);
-    void key;
   }
   private orphans: { machine: string; job: string; task: number; attempt: number }[] = [];
 
-  private drain(m: Machine, why: string, _now: number): void {
+  private drain(m: Machine, why: string): void {
     m.drain = why;
     this.log("drain", { machine: m.name, why });
     for (const p of m.placements.values()) this.stopWithMates(p, why, p.job.spec.saveS);
@@ -636,7 +633,7 @@
     }
     this.cloudWork(now);
     for (const m of this.cluster.machines.values()) this.pump(m, now);
-    return this.flush(now);
+    return this.flush();
   }
 
   private valueBytes(): number {
@@ -799,7 +796,7 @@
     const worst = machines
       .filter((m) => m.state === "up" && m.drain === null && m.slowTasks.size >= 2)
       .sort((a, b) => b.slowTasks.size - a.slowTasks.size)[0];
-    if (worst !== undefined) this.drain(worst, "slow", now);
+    if (worst !== undefined) this.drain(worst, "slow");
   }
 
   /** Unanswered starts that matter (cancelled, or ended and not to be forgotten) need a new token. */
@@ -828,7 +825,7 @@
     this.epochMark = epoch.mark;
     for (const m of this.cluster.machines.values()) m.fenced = false;
     for (const m of this.cluster.machines.values()) this.pump(m, now);
-    return this.flush(now);
+    return this.flush();
   }
 
   // ---------------------------------------------------------------- cloud
@@ -916,7 +913,7 @@
         this.refused.set(key, now + this.settings.leaseS / 2);
       }
     }
-    return this.flush(now);
+    return this.flush();
   }
 
   returned(machines: readonly string[], ok: boolean, now: number): Output[] {
@@ -929,7 +926,7 @@
       this.pendingReturns.delete(name);
       this.machineGone(name, "returned", now);
     }
-    return this.flush(now);
+    return this.flush();
   }
 
   /** The machine and everything on it are gone for certain. */
@@ -986,7 +983,7 @@
         if (m !== undefined) this.askReturn(m, "no longer listed");
       }
     }
-    return this.flush(now);
+    return this.flush();
   }
 
   // ---------------------------------------------------------------- writes
@@ -1111,7 +1108,7 @@
     const machines = new Set<Machine>();
     for (const { job } of w.jobs) for (const p of job.everyPlacement()) machines.add(p.machine);
     for (const m of machines) this.pump(m, now);
-    return this.flush(now);
+    return this.flush();
   }
 
   // ---------------------------------------------------------------- helpers
@@ -1120,37 +1117,11 @@
     this.out.push({ kind: "log", message, fields });
   }
 
-  private flush(_now: number): Output[] {
+  private flush(): Output[] {
     const out = this.out;
     this.out = [];
     return out;
   }
-
-  /** For whoever looks at a running holder. */
-  summary(): Record<string, unknown> {
-    let waiting = 0;
-    for (const j of this.cluster.jobs.values()) waiting += j.cancelled ? 0 : j.pendingCount;
-    const machines = [...this.cluster.machines.values()];
-    return {
-      jobs: this.cluster.jobs.size,
-      waiting,
-      machines: machines.length,
-      up: machines.filter((m) => m.state === "up").length,
-      fenced: machines.filter((m) => m.fenced).length,
-      room: [...this.shapes.values()].map(
-        (s) => `${s.spec.class}:${freeSlots(this.cluster, s.spec)}`,
-      ),
-    };
-  }
-}
-
-function* rangesOf(text: string): Generator<number> {
-  if (text === "") return;
-  for (const part of text.split(",")) {
-    const [a, b] = part.split("-");
-    const to = Number(b ?? a);
-    for (let n = Number(a); n <= to; n++) yield n;
-  }
 }
 
 function* range(n: number): Generator<number> {
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -47,12 +47,6 @@
     : null;
 }
 
-const itemIn = z.object({ data: z.unknown(), mark: z.number() });
-export function decodeItem(body: unknown): { value: Stored; mark: number } | null {
-  const r = itemIn.safeParse(body);
-  return r.success ? { value: r.data.data, mark: r.data.mark } : null;
-}
-
 const followIn = z.object({
   ledger: z.number(),
   log: z.array(
