--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -61,6 +61,9 @@
 /** The GPU job that could start on the machine now, and could not with this task on it. */
 function blocks(m: Machine, spec: JobSpec, care: GpuCare): boolean {
   if (m.type.gpus <= 0 || spec.gpus > 0) return false;
+  // Before any GPU job was seen, its size is not known: any task may be in its way. (Replicas that
+  // came first, at a cold start, kept a GPU machine from its jobs for a whole day.)
+  if (care.specs.length === 0) return true;
   return care.specs.some(
     (g) =>
       typeAllowed(g, m.type.name, m.zone, m.spot) &&
@@ -340,12 +343,14 @@
     const victims: Placement[] = [];
     if (job.spec.kind === "service" && !desperate(job, ctx)) {
       // With all that may be stopped gone, would a replica here keep a GPU job out?
-      const empty = care.specs.some(
-        (g) =>
-          typeAllowed(g, m.type.name, m.zone, m.spot) &&
-          slots(g, m.type.cpus - job.spec.cpus, m.type.gpus, m.type.memoryGb) <
-            slots(g, m.type.cpus, m.type.gpus, m.type.memoryGb),
-      );
+      const empty =
+        care.specs.length === 0 ||
+        care.specs.some(
+          (g) =>
+            typeAllowed(g, m.type.name, m.zone, m.spot) &&
+            slots(g, m.type.cpus - job.spec.cpus, m.type.gpus, m.type.memoryGb) <
+              slots(g, m.type.cpus, m.type.gpus, m.type.memoryGb),
+        );
       if (empty && m.type.gpus > 0) continue;
     }
     let cost = imageWait(m, job.spec);
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -69,6 +69,18 @@
     bootS: 15,
     zones: ["a", "b"],
   },
+  {
+    name: "big",
+    cpus: 8,
+    gpus: 4,
+    memoryGb: 64,
+    cacheGb: 40,
+    fetchGbPerS: 0.5,
+    price: 9,
+    spotPrice: 3,
+    bootS: 60,
+    zones: ["a", "b"],
+  },
 ];
 
 export const spec = (id: string, change: Partial<JobSpec> = {}): JobSpec => ({
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -291,3 +291,15 @@
   assert.equal(h.scheduler.cluster.machines.get("m2b")?.drain, "slow");
   assert.equal(h.scheduler.cluster.machines.get("m1a")?.drain, null);
 });
+
+test("before a GPU job was seen a replica takes a GPU machine only when nothing else comes up", () => {
+  const h = new Holder();
+  h.report("m1a", [], { type: "big" });
+  h.submit(spec("web", { priority: "production", kind: "service" }));
+  assert.equal(/start web/.test(h.trace()), false);
+  for (let i = 0; i < 8; i++) {
+    h.tick(1);
+    h.report("m1a", [], { type: "big" });
+  }
+  assert.match(h.trace(), /send m1a: start web\/0#1/);
+});
