--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -97,6 +97,7 @@
   private listedAt = Number.NEGATIVE_INFINITY;
   private listing = false;
   private renting = 0;
+  private lastJobAt: number;
   private rentals = 0;
   private cloudAfter = Number.NEGATIVE_INFINITY;
   private readonly pendingReturns = new Map<string, string>();
@@ -119,6 +120,7 @@
   ) {
     this.cluster = new Cluster(settings.teams);
     this.bumpedAt = startedAt;
+    this.lastJobAt = startedAt;
   }
 
   // ---------------------------------------------------------------- inputs
@@ -865,6 +867,10 @@
   private rent(now: number): void {
     // A holder that has just begun does not know all machines yet.
     if (now - this.startedAt < 2 * this.settings.listLagS && this.listed.size === 0) return;
+    // With no job at all for a while there is nothing to keep room for.
+    if (this.cluster.jobs.size > 0) this.lastJobAt = now;
+    const deserted = now - this.lastJobAt > this.settings.leaseS;
+    if (deserted) this.shapes.clear();
     for (const s of this.shapes.values()) s.running = 0;
     for (const m of this.cluster.machines.values()) {
       for (const p of m.placements.values()) {
@@ -899,7 +905,10 @@
       });
       return;
     }
-    for (const m of surplus(ctx, [...this.shapes.values()], this.options.idleReturnS)) {
+    const idleS = deserted
+      ? Math.min(this.settings.leaseS, this.options.idleReturnS)
+      : this.options.idleReturnS;
+    for (const m of surplus(ctx, [...this.shapes.values()], idleS)) {
       this.askReturn(m, "idle");
     }
   }
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -317,3 +317,18 @@
   // Reports come every 3 s, give or take a quarter.
   assert.ok(after > 3.75 && after < 4.5, `given up after ${after} s`);
 });
+
+test("machines go back when there has been no job for a worker's lease, and not before", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer([task("j", 0, 1, "exited", "done")]);
+  h.trace();
+  let back = 0;
+  for (let i = 1; i < 40 && back === 0; i++) {
+    h.tick(1);
+    h.report("m1a", []);
+    h.report("m2b", []);
+    if (h.trace().includes("cloud return")) back = i;
+  }
+  assert.ok(back >= 21 && back <= 24, `gave back after ${back} s`);
+});
