--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -332,3 +332,27 @@
   }
   assert.ok(back >= 21 && back <= 24, `gave back after ${back} s`);
 });
+
+test("a job of 100,000 tasks keeps its value small, however its tasks end", () => {
+  const h = ready();
+  h.submit(spec("big", { tasks: 100_000, cpus: 0.02, memoryGb: 0.01 }));
+  let largest = 0;
+  for (let round = 0; round < 12; round++) {
+    for (const m of ["m1a", "m2b"]) {
+      const here = [...h.scheduler.cluster.machines.get(m)!.placements.values()];
+      // Every other task ends, so that what is done is scattered.
+      const tasks = here.map((p, i) =>
+        i % 2 === round % 2
+          ? task("big", p.task, p.attempt, "exited", "done")
+          : task("big", p.task, p.attempt),
+      );
+      h.report(m, tasks);
+      h.tick(0.5);
+      while (h.pending.length > 0) h.answer(null);
+    }
+    largest = Math.max(largest, JSON.stringify(h.records.live.get("big")?.value).length);
+  }
+  const done = h.records.view("big")?.done ?? 0;
+  assert.ok(done > 300, `${done} done`);
+  assert.ok(largest < 8 * 1024, `value of ${largest} bytes`);
+});
