--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -16,7 +16,7 @@
     /** Free room kept for each class of jobs, as a ratio to what it uses. */
     spare_ratio: ratio(1, 0, 10),
     /** Machines at the most. */
-    max_machines: z.coerce.number().int().min(1).max(100_000).default(500),
+    max_machines: z.coerce.number().int().min(1).max(100_000).default(100_000),
     /** Idle machines beyond the spare room go back after this many worker leases. */
     idle_leases: ratio(20, 1, 1000),
   }),
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -42,6 +42,8 @@
   /** After it left office of itself, a node lets the others go first until then. */
   private standBackUntil = Number.NEGATIVE_INFINITY;
   private tickQueued = false;
+  /** Steady time before which no further pass is made for what comes in. */
+  private tickAfter = Number.NEGATIVE_INFINITY;
   private writing = false;
   private bumpWanted = false;
   private stopped = false;
@@ -59,7 +61,7 @@
     const answerMs = (c.reportS * 1000) / 3;
     this.store = new Store(settings.state, steady, answerMs);
     this.cloud = new Cloud(settings.cloud, c.reportS * 1000);
-    this.workers = new Workers(answerMs);
+    this.workers = new Workers(answerMs, Math.max(8, Math.floor(c.sockets / 5)));
     // Reads that catch up and watches each take a quarter of this node's share of requests.
     const spacing = (4 * c.nodes) / c.stateRps;
     this.follower = new Follower(this.store, this.records, steady, spacing, answerMs, (t) =>
@@ -338,14 +340,21 @@
   private queueTick(): void {
     if (this.tickQueued) return;
     this.tickQueued = true;
-    setImmediate(() => {
-      this.tickQueued = false;
-      this.tick();
-    });
+    setTimeout(
+      () => {
+        this.tickQueued = false;
+        this.tick();
+      },
+      1000 * Math.max(0, this.tickAfter - steady()),
+    );
   }
 
+  /** Passes are spaced, so that whatever they cost, as much time is left for answers. */
   private tick(): void {
+    const began = steady();
     this.guarded(() => this.tickOnce());
+    const ended = steady();
+    this.tickAfter = ended + Math.max(this.settings.cluster.reportS / 100, 2 * (ended - began));
   }
 
   private tickOnce(): void {
@@ -386,7 +395,12 @@
     }
     const room = Math.floor(this.writes.available(now));
     if (room < 3 || !scheduler.hasUrgentWrite) return;
-    const w = scheduler.nextWrite(Math.min(room, this.settings.cluster.txnOps), TXN_BYTES);
+    // Progress waits until there is plenty: placements and ends must not wait behind it.
+    const w = scheduler.nextWrite(
+      Math.min(room, this.settings.cluster.txnOps),
+      TXN_BYTES,
+      room < this.writeShare(true) / 2,
+    );
     if (w === null) return;
     this.writes.force(w.changes.length, now);
     this.writing = true;
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -84,8 +84,13 @@
   busy = false;
   directAfter = Number.NEGATIVE_INFINITY;
   idleSince: number;
-  /** Direct requests in a row that got no answer. */
+  /** Direct requests since it was last heard that got no answer. */
   unanswered = 0;
+  /**
+   * Since when direct requests get no answer, whatever is heard of it. Its reports may arrive while
+   * neither answers nor commands reach it.
+   */
+  deafSince: number | null = null;
   stored = false;
   readonly placements = new Map<string, Placement>();
   readonly ended = new Map<string, EndedTask>();
@@ -100,6 +105,8 @@
   /** Not used for new work; it is returned once empty. */
   drain: string | null = null;
   refusedUntil = Number.NEGATIVE_INFINITY;
+  /** The weakest hold of any task on it, as of the last pass: who is no stronger finds nothing here. */
+  weakest = -1;
   reservedFor: { job: string; until: number } | null = null;
   cpusUsed = 0;
   gpusUsed = 0;
@@ -160,8 +167,18 @@
   /** Run times of tasks that completed, in seconds. */
   readonly runTimes: number[] = [];
   anyDone = false;
+  /** How strongly it holds its place, the strongest first, as of the last pass. */
+  hold = 0;
+  /** No search for tasks to stop before then: the last one found none. */
+  roomAfter = Number.NEGATIVE_INFINITY;
+  /** Zone in which room is held for a gang until all its tasks fit. */
+  heldZone: string | null = null;
   /** Time at which tasks of it first waited for room. */
   waitingSince: number | null = null;
+  /** The newest version that holds a placement: until it is stored, starts wait for it. */
+  placedVersion = 0;
+  /** Tasks that wait for a place, until something changes. */
+  private pendingKnown: number | null = null;
 
   constructor(stored: StoredJob, mark: number) {
     this.spec = stored.j;
@@ -187,12 +204,21 @@
   }
   touch(): void {
     this.version++;
+    this.pendingKnown = null;
+  }
+  /** Its placements changed, whether or not that must be stored. */
+  moved(): void {
+    this.pendingKnown = null;
   }
 
   *pending(): Generator<number> {
     for (const t of this.done.missing(this.spec.tasks)) if (!this.placements.has(t)) yield t;
   }
   get pendingCount(): number {
+    this.pendingKnown ??= this.countPending();
+    return this.pendingKnown;
+  }
+  private countPending(): number {
     let placed = 0;
     for (const t of this.placements.keys()) if (!this.done.has(t)) placed++;
     return this.spec.tasks - this.done.size - placed;
@@ -268,6 +294,8 @@
   add(p: Placement, stray = false): void {
     if (stray) p.job.strays.add(p);
     else p.job.placements.set(p.task, p);
+    if (p.version > p.job.placedVersion) p.job.placedVersion = p.version;
+    p.job.moved();
     p.machine.placements.set(p.key, p);
     const { cpus, gpus, memoryGb } = p.job.spec;
     p.machine.cpusUsed += cpus;
--- /dev/null
+++ b/src/core/groups.ts
@@ -0,0 +1,97 @@
+/**
+ * Records of machines, many in one value: when hundreds come up at once, one key each would cost
+ * the state service's changes of half a minute, and no work may be placed on them before.
+ *
+ * A late copy of an older write must not take machines out of a group again, so each write is
+ * conditional on the mark that the group had.
+ */
+import type { Machine } from "./cluster.js";
+import { KEY, type Marked, type Records, type StoredGroup, type StoredMachine } from "./records.js";
+
+export class Group {
+  readonly entries = new Map<string, StoredMachine>();
+  bytes = 2;
+  version = 0;
+  saved = 0;
+  /** Machines in it of which no record is stored yet. */
+  fresh = 0;
+
+  constructor(
+    readonly n: number,
+    public mark: number,
+  ) {}
+
+  add(name: string, value: StoredMachine): void {
+    this.entries.set(name, value);
+    this.bytes += JSON.stringify(value).length + name.length + 4;
+  }
+
+  toStored(): StoredGroup {
+    return Object.fromEntries(this.entries);
+  }
+}
+
+export class Groups {
+  private readonly groups: Group[] = [];
+  private readonly of = new Map<string, Group>();
+
+  constructor(private readonly maxBytes: number) {}
+
+  load(stored: ReadonlyMap<number, Marked<StoredGroup>>): void {
+    for (const [n, { value, mark }] of stored) {
+      const g = new Group(n, mark);
+      for (const [name, m] of Object.entries(value)) {
+        g.add(name, m);
+        this.of.set(name, g);
+      }
+      this.groups.push(g);
+    }
+  }
+
+  has(name: string): boolean {
+    return this.of.has(name);
+  }
+
+  add(m: Machine): void {
+    if (this.of.has(m.name)) return;
+    let g = this.groups.find((x) => x.bytes < this.maxBytes);
+    if (g === undefined) {
+      g = new Group(1 + Math.max(0, ...this.groups.map((x) => x.n)), 0);
+      this.groups.push(g);
+    }
+    g.add(m.name, [m.address, m.type.name, m.zone, m.spot]);
+    g.version++;
+    g.fresh++;
+    this.of.set(m.name, g);
+  }
+
+  remove(name: string, stored: boolean): void {
+    const g = this.of.get(name);
+    if (g === undefined) return;
+    const value = g.entries.get(name)!;
+    g.entries.delete(name);
+    g.bytes -= JSON.stringify(value).length + name.length + 4;
+    if (!stored) g.fresh--;
+    g.version++;
+    this.of.delete(name);
+  }
+
+  /** Groups to be written: those with new machines first, as work waits for them. */
+  dirty(): Group[] {
+    const out = this.groups.filter((g) => g.version > g.saved);
+    return out.sort((a, b) => b.fresh - a.fresh);
+  }
+
+  get urgent(): boolean {
+    return this.groups.some((g) => g.fresh > 0);
+  }
+
+  /** A doubtful write was settled by a fresh read: the marks are the stored ones. */
+  reread(records: Records): void {
+    for (const g of this.groups) g.mark = records.groups.get(g.n)?.mark ?? 0;
+  }
+
+  key(g: Group): string {
+    return KEY.group(g.n);
+  }
+}
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -6,6 +6,7 @@
 import { type Cluster, type LiveJob, type Machine, Placement, slots } from "./cluster.js";
 import type { ClusterSettings, JobSpec, Priority } from "./model.js";
 
+const EPSILON = 1e-6;
 const RANK: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
 export const rankOf = (p: Priority): number => RANK[p];
 
@@ -17,23 +18,76 @@
   readonly wallMs: number;
   /** Largest value that a pipeline may grow to while tasks are still being placed. */
   readonly valueBytes: number;
+  readonly field: Field;
   readonly log: (message: string, fields: Record<string, unknown>) => void;
 }
 
+/**
+ * What one pass looks up again and again, found once: with many hundred machines and jobs a look
+ * at every machine for every job is more than a node can do.
+ */
+export interface Field {
+  /** Machines that take work now, by type. */
+  readonly usable: ReadonlyMap<string, readonly Machine[]>;
+  /** Those with anything free as the pass begins. */
+  readonly open: readonly Machine[];
+  /** Every kind of machine there is: type, zone and whether it is a spot machine. */
+  readonly kinds: readonly Machine[];
+  /** Open machines that hold an image. */
+  readonly holding: ReadonlyMap<string, readonly Machine[]>;
+}
+
+export function survey(cluster: Cluster, settings: ClusterSettings, now: number): Field {
+  const usableNow = new Map<string, Machine[]>();
+  const open: Machine[] = [];
+  const kinds = new Map<string, Machine>();
+  const holding = new Map<string, Machine[]>();
+  for (const m of cluster.machines.values()) {
+    const kind = `${m.type.name} ${m.zone} ${m.spot}`;
+    if (!kinds.has(kind)) kinds.set(kind, m);
+    if (!usable(m, null, settings, now)) continue;
+    const ofType = usableNow.get(m.type.name);
+    if (ofType === undefined) usableNow.set(m.type.name, [m]);
+    else ofType.push(m);
+    m.weakest = -1;
+    for (const p of m.placements.values()) {
+      if (p.stop === null && p.job.hold > m.weakest) m.weakest = p.job.hold;
+    }
+    if (m.freeCpus < EPSILON || m.freeMemory < EPSILON) continue;
+    open.push(m);
+    for (const [image, i] of m.images) {
+      if (!i.ready) continue;
+      const list = holding.get(image);
+      if (list === undefined) holding.set(image, [m]);
+      else list.push(m);
+    }
+  }
+  return { usable: usableNow, open, kinds: [...kinds.values()], holding };
+}
+
 /** A machine takes new work while its reports come in time. */
-export function usable(m: Machine, job: LiveJob | null, ctx: PlanContext): boolean {
+export function usable(
+  m: Machine,
+  job: LiveJob | null,
+  settings: ClusterSettings,
+  now: number,
+): boolean {
   return (
     m.state === "up" &&
     m.fenced &&
     m.stored &&
     m.drain === null &&
     m.takenAt === null &&
-    ctx.now - m.lastHeard < 1.5 * ctx.settings.reportS &&
-    ctx.now >= m.refusedUntil &&
-    (m.reservedFor === null || job === null || m.reservedFor.job === job.spec.id)
+    m.deafSince === null &&
+    now - m.lastHeard < 1.5 * settings.reportS &&
+    now >= m.refusedUntil &&
+    openTo(m, job)
   );
 }
 
+const openTo = (m: Machine, job: LiveJob | null): boolean =>
+  m.reservedFor === null || job === null || m.reservedFor.job === job.spec.id;
+
 export function typeAllowed(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
   return (
     (spec.types === null || spec.types.includes(type)) &&
@@ -146,12 +200,12 @@
 function candidates(job: LiveJob, ctx: PlanContext, care: GpuCare): Candidate[] {
   const out: Candidate[] = [];
   const zone = boundZone(job);
-  for (const m of ctx.cluster.machines.values()) {
-    if (!usable(m, job, ctx)) continue;
+  for (const m of ctx.field.open) {
+    let fits = slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory);
+    if (fits === 0 || !openTo(m, job)) continue;
     if (zone !== null && m.zone !== zone) continue;
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
     if (job.errorMachines.has(m.name)) continue;
-    let fits = slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory);
     // A replica stays for long. It takes a GPU away only when there was time to make room elsewhere.
     if (
       fits > 0 &&
@@ -270,6 +324,60 @@
   return true;
 }
 
+/** Usable machines of the types of which a whole machine takes a task. */
+function* fitted(spec: JobSpec, ctx: PlanContext): Generator<Machine> {
+  for (const machines of ctx.field.usable.values()) {
+    const { cpus, gpus, memoryGb } = machines[0]!.type;
+    if (slots(spec, cpus, gpus, memoryGb) >= 1) yield* machines;
+  }
+}
+
+/**
+ * A gang of many machines would never find them free at one moment while smaller jobs take each as
+ * it comes free. So what is free in one zone is held for it, in the order of urgency, and what waits
+ * behind it takes the rest.
+ */
+function holdRoom(job: LiveJob, ctx: PlanContext): void {
+  const { spec } = job;
+  if (spec.tasks < 2 || job.present > 0 || ctx.cluster.quotaSlots(spec) < spec.tasks) return;
+  const zones = new Map<string, { free: number; all: number; held: number }>();
+  const fitting: Machine[] = [];
+  for (const m of fitted(spec, ctx)) {
+    if (!openTo(m, job)) continue;
+    const whole = slots(spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
+    if (!typeAllowed(spec, m.type.name, m.zone, m.spot) || job.errorMachines.has(m.name)) continue;
+    const zone = spec.oneZone ? m.zone : "";
+    const z = zones.get(zone) ?? { free: 0, all: 0, held: 0 };
+    zones.set(zone, z);
+    z.all += whole;
+    const free = slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
+    z.free += free;
+    if (m.reservedFor !== null) z.held += whole;
+    if (free > 0 || m.reservedFor !== null) fitting.push(m);
+  }
+  let zone: string | null = null;
+  let best = -1;
+  for (const [name, z] of zones) {
+    if (z.all < spec.tasks) continue;
+    const worth = z.free + z.held + (name === job.heldZone ? spec.tasks / 4 : 0);
+    if (worth > best) {
+      best = worth;
+      zone = name;
+    }
+  }
+  if (zone === null) return;
+  job.heldZone = spec.oneZone ? zone : null;
+  let need = spec.tasks;
+  fitting.sort((a, b) => imageWait(a, spec) - imageWait(b, spec) || (a.name < b.name ? -1 : 1));
+  for (const m of fitting) {
+    if (spec.oneZone && m.zone !== zone) continue;
+    if (need <= 0) break;
+    need -= slots(spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
+    m.reservedFor ??= { job: spec.id, until: 0 };
+    m.reservedFor.until = Math.max(m.reservedFor.until, ctx.now + ctx.settings.reportS);
+  }
+}
+
 function placeTasks(job: LiveJob, ctx: PlanContext, care: GpuCare): void {
   const quota = ctx.cluster.quotaSlots(job.spec);
   if (quota <= 0) return;
@@ -286,7 +394,7 @@
  * team's guarantee, then the rest, each by priority. Only the stronger preempts, so two jobs can
  * never stop each other in turn.
  */
-export function hold(job: LiveJob, within: ReadonlySet<string>): number {
+export function holdOf(job: LiveJob, within: ReadonlySet<string>): number {
   if (job.spec.priority === "production") return 0;
   return (within.has(job.spec.id) ? 10 : 20) + rankOf(job.spec.priority);
 }
@@ -294,7 +402,7 @@
 /** May this placement be stopped to make room for the job? */
 function mayPreempt(job: LiveJob, p: Placement, within: ReadonlySet<string>): boolean {
   if (p.stop !== null) return false;
-  if (hold(job, within) >= hold(p.job, within)) return false;
+  if (job.hold >= p.job.hold) return false;
   if (rankOf(p.job.spec.priority) > rankOf(job.spec.priority)) return true;
   // To give a team its guarantee, what another team runs beyond its own may be stopped.
   return within.has(job.spec.id) && !within.has(p.job.spec.id) && p.job.spec.team !== job.spec.team;
@@ -321,15 +429,16 @@
 ): { machine: Machine; victims: Placement[] } | null {
   if (ctx.cluster.quotaSlots(job.spec) <= 0) return null;
   const room = spreadRoom(job);
-  const zone = boundZone(job);
+  const zone = boundZone(job) ?? job.heldZone;
   let best: { machine: Machine; victims: Placement[] } | null = null;
   let bestCost = Infinity;
-  for (const m of ctx.cluster.machines.values()) {
-    if (!usable(m, job, ctx) || room(m.zone) <= 0) continue;
+  for (const m of fitted(job.spec, ctx)) {
+    if (m.weakest <= job.hold) continue;
+    // Room is being made or held there already; the caller has counted it.
+    if (m.reservedFor !== null || room(m.zone) <= 0) continue;
     if (zone !== null && m.zone !== zone) continue;
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
     if (job.errorMachines.has(m.name)) continue;
-    if (slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb) < 1) continue;
     let cpus = m.freeCpus;
     let gpus = m.freeGpus;
     let memory = m.freeMemory;
@@ -354,13 +463,22 @@
       if (empty && m.type.gpus > 0) continue;
     }
     let cost = imageWait(m, job.spec);
-    const order = [...m.placements.values()]
-      .filter((p) => mayPreempt(job, p, within))
-      .sort(
-        (a, b) =>
-          rankOf(b.job.spec.priority) - rankOf(a.job.spec.priority) ||
-          loss(a, ctx.now) - loss(b, ctx.now),
-      );
+    if (cost >= bestCost) continue;
+    const stoppable = [...m.placements.values()].filter((p) => mayPreempt(job, p, within));
+    let most = cpus;
+    let mostGpus = gpus;
+    let mostMemory = memory;
+    for (const p of stoppable) {
+      most += p.job.spec.cpus;
+      mostGpus += p.job.spec.gpus;
+      mostMemory += p.job.spec.memoryGb;
+    }
+    if (slots(job.spec, most, mostGpus, mostMemory) < 1) continue;
+    const order = stoppable.sort(
+      (a, b) =>
+        rankOf(b.job.spec.priority) - rankOf(a.job.spec.priority) ||
+        loss(a, ctx.now) - loss(b, ctx.now),
+    );
     for (const p of order) {
       if (slots(job.spec, cpus, gpus, memory) >= 1) break;
       cpus += p.job.spec.cpus;
@@ -388,15 +506,40 @@
   }
   const urgency = new Map<LiveJob, number>();
   for (const j of waiting) urgency.set(j, latestStart(j, ctx, within));
+  const starving = neglected(waiting, ctx);
+  const line = (j: LiveJob): number => (starving.has(j) ? Math.min(1, j.hold) : j.hold);
   return waiting.sort(
     (a, b) =>
-      hold(a, within) - hold(b, within) ||
+      line(a) - line(b) ||
       urgency.get(a)! - urgency.get(b)! ||
       a.submittedAt - b.submittedAt ||
       (a.spec.id < b.spec.id ? -1 : 1),
   );
 }
 
+/** The users' bound: every job, the largest too, is to begin within four minutes. */
+const BEGIN_S = 240;
+
+/**
+ * Of each class, the largest job that has waited for half of that bound without a start. It goes
+ * before all but production, one of a class at a time, so that those still in time lose little.
+ */
+function neglected(waiting: readonly LiveJob[], ctx: PlanContext): Set<LiveJob> {
+  const worst = new Map<string, LiveJob>();
+  for (const j of waiting) {
+    if (j.done.size > 0 || j.present > 0) continue;
+    if (ctx.wallMs - j.submittedAt < 500 * BEGIN_S) continue;
+    const w = worst.get(j.spec.class);
+    if (
+      w === undefined ||
+      j.spec.tasks > w.spec.tasks ||
+      (j.spec.tasks === w.spec.tasks && j.submittedAt < w.submittedAt)
+    )
+      worst.set(j.spec.class, j);
+  }
+  return new Set(worst.values());
+}
+
 /**
  * The latest time of day (ms) at which a start still meets some aim that the settings state for
  * the job. What can meet none any more comes last: an hour's backlog served in order of arrival
@@ -426,15 +569,14 @@
 /** Seconds that the job's image takes where it could run, or none if a machine free now holds it. */
 function fetchS(job: LiveJob, ctx: PlanContext): number {
   let rate = 0;
-  for (const m of ctx.cluster.machines.values()) {
+  for (const m of ctx.field.kinds) {
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
     if (slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb) < 1) continue;
     rate = Math.max(rate, m.type.fetchGbPerS);
-    if (
-      m.images.get(job.spec.image)?.ready &&
-      slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory) > 0
-    )
-      return 0;
+  }
+  for (const m of ctx.field.holding.get(job.spec.image) ?? []) {
+    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory) > 0) return 0;
   }
   return rate > 0 ? job.spec.imageGb / rate : 0;
 }
@@ -447,10 +589,13 @@
   mayStart: (job: LiveJob) => boolean,
 ): LiveJob[] {
   const left: LiveJob[] = [];
+  let holding = 0;
   for (const job of order(ctx, within)) {
     if (!mayStart(job)) continue;
-    if (job.spec.kind === "gang") placeGang(job, ctx, care);
-    else placeTasks(job, ctx, care);
+    if (job.spec.kind === "gang") {
+      if (placeGang(job, ctx, care)) job.heldZone = null;
+      else if (holding++ < ctx.settings.zones.length * 2) holdRoom(job, ctx);
+    } else placeTasks(job, ctx, care);
     if (job.pendingCount > 0) {
       job.waitingSince ??= ctx.now;
       left.push(job);
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -2,7 +2,7 @@
  * What the state service holds, as every node follows it.
  *
  *   p/<id>   a live pipeline          d/<id>  how a job ended, for ever
- *   x/<id>   a cancellation           m/<name> a machine that may hold tasks
+ *   x/<id>   a cancellation           g/<n>    machines that may hold tasks, many in one value
  *   lead     who holds the term       epoch   the count of terms, also the workers' token
  *   types    the machine types, for a start while the cloud is down
  */
@@ -14,7 +14,7 @@
   live: (id: string) => `p/${id}`,
   final: (id: string) => `d/${id}`,
   cancel: (id: string) => `x/${id}`,
-  machine: (name: string) => `m/${name}`,
+  group: (n: number) => `g/${n}`,
   lead: "lead",
   epoch: "epoch",
   types: "types",
@@ -45,12 +45,8 @@
   readonly s: "done" | "cancelled";
   readonly n: number;
 }
-export interface StoredMachine {
-  readonly a: string;
-  readonly t: string;
-  readonly z: string;
-  readonly s: boolean;
-}
+export type StoredMachine = readonly [address: string, type: string, zone: string, spot: boolean];
+export type StoredGroup = Readonly<Record<string, StoredMachine>>;
 export interface StoredLead {
   readonly member: string;
   readonly epoch: number;
@@ -72,7 +68,7 @@
   readonly live = new Map<string, Marked<StoredJob>>();
   readonly finals = new Map<string, StoredFinal>();
   readonly cancels = new Set<string>();
-  readonly machines = new Map<string, Marked<StoredMachine>>();
+  readonly groups = new Map<number, Marked<StoredGroup>>();
   lead: Marked<StoredLead> | null = null;
   types: readonly MachineType[] | null = null;
   epoch: Marked<{ n: number }> = { value: { n: 0 }, mark: 0 };
@@ -84,7 +80,7 @@
     this.live.clear();
     this.finals.clear();
     this.cancels.clear();
-    this.machines.clear();
+    this.groups.clear();
     this.lead = null;
     this.epoch = { value: { n: 0 }, mark: 0 };
     for (const i of items) this.put(i.key, i.value, i.mark);
@@ -111,7 +107,8 @@
     if (key.startsWith("p/")) this.live.set(name, { value: value as StoredJob, mark });
     else if (key.startsWith("d/")) this.finals.set(name, value as StoredFinal);
     else if (key.startsWith("x/")) this.cancels.add(name);
-    else if (key.startsWith("m/")) this.machines.set(name, { value: value as StoredMachine, mark });
+    else if (key.startsWith("g/"))
+      this.groups.set(Number(name), { value: value as StoredGroup, mark });
     else if (key === KEY.lead) this.lead = { value: value as StoredLead, mark };
     else if (key === KEY.types) this.types = value as MachineType[];
     else if (key === KEY.epoch) this.epoch = { value: value as { n: number }, mark };
@@ -122,7 +119,7 @@
     if (key.startsWith("p/")) this.live.delete(name);
     else if (key.startsWith("d/")) this.finals.delete(name);
     else if (key.startsWith("x/")) this.cancels.delete(name);
-    else if (key.startsWith("m/")) this.machines.delete(name);
+    else if (key.startsWith("g/")) this.groups.delete(Number(name));
     else if (key === KEY.lead) this.lead = null;
   }
 
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -27,6 +27,15 @@
   /** Free room to keep for each class, as a ratio to what it uses. */
   readonly spare: number;
   readonly maxMachines: number;
+  readonly inZone: ReadonlyMap<string, number>;
+}
+
+export function machinesInZones(cluster: Cluster): Map<string, number> {
+  const inZone = new Map<string, number>();
+  for (const m of cluster.machines.values()) {
+    inZone.set(m.zone, (inZone.get(m.zone) ?? 0) + 1);
+  }
+  return inZone;
 }
 
 export const offerKey = (type: string, zone: string, spot: boolean): string =>
@@ -54,10 +63,6 @@
 ): { type: MachineType; zone: string; spot: boolean; perMachine: number } | null {
   let best: { type: MachineType; zone: string; spot: boolean; perMachine: number } | null = null;
   let bestCost = Infinity;
-  const inZone = new Map<string, number>();
-  for (const m of ctx.cluster.machines.values()) {
-    inZone.set(m.zone, (inZone.get(m.zone) ?? 0) + 1);
-  }
   for (const type of ctx.types) {
     const perMachine = slots(spec, type.cpus, type.gpus, type.memoryGb);
     if (perMachine < 1) continue;
@@ -72,7 +77,7 @@
         // Zones with fewer machines first, by a little.
         const cost =
           (gpuWaste * price) / Math.min(perMachine, Math.max(want, 1)) +
-          1e-4 * (inZone.get(zone) ?? 0);
+          1e-4 * (ctx.inZone.get(zone) ?? 0);
         if (cost < bestCost) {
           best = { type, zone, spot, perMachine };
           bestCost = cost;
@@ -149,16 +154,19 @@
 
 /** Machines that stand idle although there is more than enough room for every class. */
 export function surplus(ctx: RentContext, shapes: readonly Shape[], idleS: number): Machine[] {
-  const out: Machine[] = [];
-  for (const m of ctx.cluster.machines.values()) {
-    if (m.state !== "up" || m.placements.size > 0 || ctx.now - m.idleSince < idleS) continue;
+  const idle = [...ctx.cluster.machines.values()].filter(
+    (m) => m.state === "up" && m.placements.size === 0 && ctx.now - m.idleSince >= idleS,
+  );
+  if (idle.length === 0) return [];
+  const free = new Map(shapes.map((s) => [s, freeSlots(ctx.cluster, s.spec)]));
+  for (const m of idle) {
     const needed = shapes.some((s) => {
       if (!typeAllowed(s.spec, m.type.name, m.zone, m.spot)) return false;
       const here = slots(s.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
       const keep = Math.max(1, Math.ceil(ctx.spare * s.running));
-      return here > 0 && freeSlots(ctx.cluster, s.spec) - here < keep;
+      return here > 0 && free.get(s)! - here < keep;
     });
-    if (!needed) out.push(m);
+    if (!needed) return [m];
   }
-  return out.slice(0, 1);
+  return [];
 }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -6,7 +6,9 @@
  * `nextWrite`, because how much may be written at a time is limited outside.
  */
 import type { Change, Condition } from "../wire/state.js";
+import { Bucket } from "./bucket.js";
 import { Cluster, type EndedTask, LiveJob, Machine, Placement, slots, taskKey } from "./cluster.js";
+import { type Group, Groups } from "./groups.js";
 import {
   CLOCK_DRIFT,
   type ClusterSettings,
@@ -21,15 +23,24 @@
 import {
   careForGpus,
   type GpuCare,
+  holdOf,
   makeRoom,
   type PlanContext,
   plan,
   rankOf,
+  survey,
   typeAllowed,
 } from "./planner.js";
 import { Ranges } from "./ranges.js";
-import { KEY, type Records, type StoredFinal, type StoredMachine } from "./records.js";
-import { offerKey, type RentContext, type Shape, surplus, wanted } from "./renting.js";
+import { KEY, type Records, type StoredFinal } from "./records.js";
+import {
+  machinesInZones,
+  offerKey,
+  type RentContext,
+  type Shape,
+  surplus,
+  wanted,
+} from "./renting.js";
 
 export type Output =
   | {
@@ -69,7 +80,7 @@
   readonly changes: Change[];
   /** Jobs in it, with the version that becomes the stored one; null: the final record. */
   readonly jobs: { readonly job: LiveJob; readonly version: number | null }[];
-  readonly machines: { readonly name: string; readonly present: boolean }[];
+  readonly groups: { readonly group: Group; readonly version: number; readonly names: string[] }[];
 }
 
 export interface SchedulerOptions {
@@ -82,6 +93,12 @@
 
 /** A task this many times slower than the middle one of its job speaks against its machine. */
 const SLOW_RATIO = 2.5;
+/** Passes over all that waits, at most so many in a report interval. */
+const PLANS = 40;
+/** Searches of one pass for tasks to stop. */
+const LOOKS_FOR_ROOM = 16;
+/** Looks a second, for each core, at machines whose report is not late yet. */
+const LOOKS = 40;
 
 export class Scheduler {
   readonly cluster: Cluster;
@@ -102,7 +119,12 @@
   private cloudAfter = Number.NEGATIVE_INFINITY;
   private readonly pendingReturns = new Map<string, string>();
   private returning = 0;
-  private machineRecords = new Map<string, boolean>();
+  private readonly groups: Groups;
+  /** Machines that something may be due to; the others are not looked at as time passes. */
+  private readonly due = new Set<Machine>();
+  /** Machines to which a request is out that only tells them the token. */
+  private readonly fences = new Set<string>();
+  private readonly looks: Bucket;
   private bumping = false;
   private bumpedAt: number;
   private slowCheckedAt = Number.NEGATIVE_INFINITY;
@@ -119,6 +141,8 @@
     private readonly startedAt: number,
   ) {
     this.cluster = new Cluster(settings.teams);
+    this.groups = new Groups(0.6 * settings.valueKb * 1024);
+    this.looks = new Bucket(LOOKS * settings.cpuShare, LOOKS * settings.cpuShare);
     this.bumpedAt = startedAt;
     this.lastJobAt = startedAt;
   }
@@ -127,15 +151,23 @@
 
   /** Everything stored, as of taking the term. */
   load(records: Records, now: number): Output[] {
-    for (const [name, m] of records.machines) {
-      const machine = this.machine(name, m.value.t, m.value.z, m.value.s, now);
-      if (machine === null) continue;
-      machine.address = m.value.a;
-      machine.stored = true;
-      machine.state = "up";
-      this.firstContact(machine);
+    this.groups.load(records.groups);
+    for (const g of records.groups.values()) {
+      for (const [name, [address, type, zone, spot]] of Object.entries(g.value)) {
+        const machine = this.machine(name, type, zone, spot, now);
+        if (machine === null) continue;
+        machine.address = address;
+        machine.stored = true;
+        machine.state = "up";
+        this.firstContact(machine);
+      }
     }
     for (const id of records.live.keys()) this.recordChanged(records, id, now);
+    // Those that run replicas are fenced first.
+    const up = [...this.cluster.machines.values()];
+    for (const m of up) if (serves(m)) this.due.add(m);
+    for (const m of up) if (m.placements.size > 0) this.due.add(m);
+    for (const m of up) this.due.add(m);
     return this.flush();
   }
 
@@ -225,18 +257,26 @@
 
   /** A worker's report came in and is answered with these commands. */
   report(r: Report, now: number): { commands: Command[]; outputs: Output[] } {
+    const before = this.cluster.machines.get(r.machine);
+    if (before !== undefined && !isNewer(r, before)) {
+      // A late copy. Its answer renews nothing that the original did not, and starts nothing.
+      return { commands: [], outputs: this.flush() };
+    }
     const m = this.hear(r, now);
     if (m === null) return { commands: [], outputs: this.flush() };
     m.lastRenewed = Math.max(m.lastRenewed, now);
+    // This answer tells it the token; it reports again at once if that was news to it.
+    if (!m.fenced) m.directAfter = Math.max(m.directAfter, now + this.settings.reportS / 4);
     // Stops and forgets can be repeated; starts go only where their fate can be known.
     const commands = m.fenced ? this.commandsFor(m, now, false) : [];
+    this.pump(m, now);
     return { commands, outputs: this.flush() };
   }
 
   /** The former holder, while it may not act, answered a report without commands. */
   renewedWithout(r: Report, now: number): void {
     const m = this.cluster.machines.get(r.machine);
-    if (m === undefined) return;
+    if (m === undefined || !isNewer(r, m)) return;
     m.lastRenewed = Math.max(m.lastRenewed, now);
     m.lastHeard = Math.max(m.lastHeard, now);
   }
@@ -247,6 +287,7 @@
 
   /** A direct command was answered, or not. */
   sent(machine: string, commands: readonly Command[], outcome: SendOutcome, now: number): Output[] {
+    this.fences.delete(machine);
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return [];
     m.busy = false;
@@ -261,23 +302,32 @@
       } else if (!outcome.executed && p !== undefined && p.state === "sent") p.state = "planned";
     }
     if (outcome.kind === "lost") this.unanswered(m, now);
-    else this.hear(outcome.report, now);
+    else this.reached(m, outcome.report, now);
     this.pump(m, now);
     return this.flush();
   }
 
+  /** A direct request was answered. */
+  private reached(m: Machine, report: Report, now: number): void {
+    if (m.deafSince !== null) this.needPlan = true;
+    m.deafSince = null;
+    this.hear(report, now);
+  }
+
   shown(machine: string, report: Report | null, now: number): Output[] {
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return [];
     m.busy = false;
     if (report === null) this.unanswered(m, now);
-    else this.hear(report, now);
+    else this.reached(m, report, now);
+    this.pump(m, now);
     return this.flush();
   }
 
   /** The second try follows soon, as two in a row tell more than one; then they are spaced. */
   private unanswered(m: Machine, now: number): void {
     m.unanswered++;
+    m.deafSince ??= now;
     m.directAfter = now + this.settings.reportS / (m.unanswered === 1 ? 30 : 3);
   }
 
@@ -306,7 +356,7 @@
     }
     const m = this.machine(r.machine, r.type, r.zone, r.spot, now);
     if (m === null) return null;
-    if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return m;
+    if (!isNewer(r, m)) return m;
     if (m.state === "booting") {
       m.state = "up";
       m.idleSince = now;
@@ -314,7 +364,7 @@
       this.log("machine up", { machine: m.name, type: m.type.name, zone: m.zone, spot: m.spot });
     }
     m.address = r.address;
-    if (!m.stored && !this.machineRecords.has(m.name)) this.machineRecords.set(m.name, true);
+    if (!m.stored) this.groups.add(m);
     if (now - m.lastHeard > 1.5 * this.settings.reportS) this.needPlan = true;
     m.lastHeard = now;
     m.unanswered = 0;
@@ -340,7 +390,7 @@
     }
     m.fenced = fenced;
     if (fenced) this.reconcile(m, r, now);
-    this.pump(m, now);
+    this.due.add(m);
     return m;
   }
 
@@ -494,6 +544,7 @@
   private stop(p: Placement, why: string, graceS: number): void {
     if (p.stop !== null && p.stop.graceS <= graceS) return;
     p.stop = { why, graceS, sentAt: Number.NEGATIVE_INFINITY };
+    this.due.add(p.machine);
     this.log("stop", {
       task: `${p.job.spec.id}/${p.task}`,
       attempt: p.attempt,
@@ -605,10 +656,21 @@
     return job === undefined || job.savedVersion >= e.version;
   }
 
-  /** Sends a machine what is due to it, one direct request at a time. */
+  /**
+   * Sends a machine what is due to it, one direct request at a time. Forgetting is never urgent and
+   * goes with the answer to a report, or with what is sent anyway.
+   */
   private pump(m: Machine, now: number): void {
-    if (m.busy || m.address === "" || m.state !== "up" || now < m.directAfter) return;
+    this.due.delete(m);
+    if (m.busy || m.address === "" || m.state !== "up") return;
+    if (now < m.directAfter) {
+      this.due.add(m);
+      return;
+    }
     if (!m.fenced) {
+      this.due.add(m);
+      if (this.fences.size >= Math.max(8, this.settings.sockets / 50)) return;
+      this.fences.add(m.name);
       m.busy = true;
       this.out.push({
         kind: "send",
@@ -619,8 +681,14 @@
       });
       return;
     }
+    for (const p of m.placements.values()) {
+      if (p.stop === null && p.state !== "planned" && p.state !== "sent") continue;
+      this.due.add(m);
+      break;
+    }
+    if (!this.due.has(m) && this.orphans.length === 0) return;
     const commands = this.commandsFor(m, now, true).slice(0, 400);
-    if (commands.length === 0) return;
+    if (commands.every((c) => c.op === "forget")) return;
     m.busy = true;
     this.out.push({
       kind: "send",
@@ -634,14 +702,18 @@
   // ---------------------------------------------------------------- time
 
   tick(now: number, wallMs: number): Output[] {
-    this.watchMachines(now);
-    this.checkDoubts(now);
+    if (now - this.watchedAt >= this.settings.reportS / 25) {
+      this.watchMachines(now);
+      this.checkDoubts(now);
+    }
     this.findSlow(now);
-    if (this.typesKnown && (this.needPlan || now - this.plannedAt > this.settings.reportS / 3)) {
+    const sincePlan = now - this.plannedAt;
+    const { reportS } = this.settings;
+    if (this.typesKnown && sincePlan > reportS / (this.needPlan ? PLANS : 3)) {
       this.replan(now, wallMs);
     }
     this.cloudWork(now);
-    for (const m of this.cluster.machines.values()) this.pump(m, now);
+    for (const m of [...this.due]) this.pump(m, now);
     return this.flush();
   }
 
@@ -656,6 +728,7 @@
       now,
       wallMs,
       valueBytes: this.valueBytes(),
+      field: survey(this.cluster, this.settings, now),
       log: (message, fields) => this.log(message, fields),
     };
   }
@@ -665,7 +738,6 @@
   private replan(now: number, wallMs: number): void {
     this.needPlan = false;
     this.plannedAt = now;
-    const ctx = this.context(now, wallMs);
     const within = this.cluster.withinGuarantee();
     for (const m of this.cluster.machines.values()) {
       if (m.reservedFor === null) continue;
@@ -674,10 +746,14 @@
         m.reservedFor = null;
       }
     }
+    for (const job of this.cluster.jobs.values()) job.hold = holdOf(job, within);
     const gpuSpecs = [...this.shapes.values()].map((s) => s.spec).filter((s) => s.gpus > 0);
     const care = careForGpus(this.cluster, gpuSpecs);
+    const ctx = this.context(now, wallMs);
     this.waiting = plan(ctx, within, care, (job) => this.acceptStart(job));
-    for (const job of this.waiting) this.preempt(job, ctx, within, care);
+    // Each look for room goes over all machines: what a pass does not come to, the next one does.
+    const looks = { left: LOOKS_FOR_ROOM };
+    for (const job of this.waiting) this.preempt(job, ctx, within, care, looks);
   }
 
   /** The algebra decides whether the start is accepted; the write that holds it makes it so. */
@@ -697,9 +773,11 @@
     ctx: PlanContext,
     within: ReadonlySet<string>,
     care: GpuCare,
+    looks: { left: number },
   ): void {
     const rank = rankOf(job.spec.priority);
     if (rank > 1 && !within.has(job.spec.id)) return;
+    if (looks.left <= 0 || ctx.now < job.roomAfter) return;
     // Stopping costs work: what is not urgent waits a moment for room to come up by itself.
     const waited = ctx.now - (job.waitingSince ?? ctx.now);
     if (rank > 0 && waited < this.settings.reportS * rank) return;
@@ -710,9 +788,13 @@
         need -= slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
       }
     }
-    for (let i = 0; need > 0 && i < 8; i++) {
+    for (let i = 0; need > 0 && i < 8 && looks.left > 0; i++) {
+      looks.left--;
       const found = makeRoom(job, ctx, within, care);
-      if (found === null || found.machine.reservedFor !== null) return;
+      if (found === null) {
+        job.roomAfter = ctx.now + this.settings.reportS / 4;
+        return;
+      }
       found.machine.reservedFor = {
         job: job.spec.id,
         until: ctx.now + this.settings.gangPeerS + 2 * this.settings.reportS,
@@ -735,14 +817,25 @@
       (m) => m.state === "up" || m.state === "returning",
     );
     // A process that was held up finds everybody silent: first let it read what has come in.
-    const heldUp = now - this.watchedAt > reportS / 3;
+    const heldUp = now - this.watchedAt > reportS / 2;
     this.watchedAt = now;
     if (heldUp) this.watchAfter = now + reportS / 3;
     if (now < this.watchAfter) return;
     // When many are overdue at once it is more likely us than them. Reports come within 1.25
     // intervals, and those that fell silent together are all overdue before the first is given up.
-    const overdue = up.filter((m) => now - m.lastHeard > 1.3 * reportS || m.unanswered > 0).length;
-    const believable = overdue <= Math.max(2, up.length / 4);
+    // A zone that is cut off as a whole says nothing against the machines of another.
+    const inZone = new Map<string, { all: number; overdue: number }>();
+    for (const m of up) {
+      const z = inZone.get(m.zone) ?? { all: 0, overdue: 0 };
+      inZone.set(m.zone, z);
+      z.all++;
+      if (now - m.lastHeard > 1.3 * reportS || m.unanswered > 0) z.overdue++;
+    }
+    const overdueInAll = [...inZone.values()].reduce((n, z) => n + z.overdue, 0);
+    const believable = (m: Machine): boolean => {
+      const z = inZone.get(m.zone)!;
+      return z.overdue <= Math.max(2, z.all / 4) && overdueInAll <= Math.max(2, up.length / 2);
+    };
     // Hardly anything is heard, and time enough to hear: another node may be better placed.
     const known = up.filter((m) => m.session > 0);
     const heard = known.filter((m) => now - m.lastHeard <= 1.6 * reportS).length;
@@ -752,18 +845,27 @@
     }
     for (const m of up) {
       const quiet = now - m.lastHeard;
+      // Late reports, and what does not hear us, are looked after at once. An earlier look finds
+      // the end of a machine sooner, but costs as much as a report: so many a second, and those
+      // that run replicas are worth it most.
+      const overdue = quiet > 1.25 * reportS || m.deafSince !== null;
+      const early = quiet > (serves(m) ? 0.8 : 1) * reportS;
       if (
         m.state === "up" &&
-        quiet > 0.8 * reportS &&
+        (overdue || early) &&
         !m.busy &&
         now >= m.directAfter &&
-        m.address !== ""
+        m.address !== "" &&
+        (overdue || this.looks.take(1, now))
       ) {
         m.busy = true;
         this.out.push({ kind: "show", machine: m.name, address: m.address });
       }
       const silent = quiet > 2 * reportS || (quiet > 1.3 * reportS && m.unanswered >= 2);
-      if (silent && believable) this.askReturn(m, "silent");
+      if (silent && believable(m)) this.askReturn(m, "silent");
+      // It reports, but hears nothing: its lease will end, and what is sent to it is lost.
+      const deaf = m.deafSince !== null && now - m.deafSince > 2 * reportS;
+      if (deaf && believable(m)) this.askReturn(m, "cannot be reached");
       const lapse = m.lastRenewed + leaseS * (1 + 2 * CLOCK_DRIFT) + 1;
       if (now > lapse && m.placements.size > 0) {
         // Whatever it does now, its lease is over, and with it every task of that session.
@@ -833,8 +935,11 @@
     if (epoch === null) return [];
     this.epoch = epoch.n;
     this.epochMark = epoch.mark;
-    for (const m of this.cluster.machines.values()) m.fenced = false;
-    for (const m of this.cluster.machines.values()) this.pump(m, now);
+    for (const m of this.cluster.machines.values()) {
+      m.fenced = false;
+      this.due.add(m);
+    }
+    for (const m of [...this.due]) this.pump(m, now);
     return this.flush();
   }
 
@@ -886,6 +991,7 @@
       refused: this.refused,
       spare: this.options.spare,
       maxMachines: this.options.maxMachines,
+      inZone: machinesInZones(this.cluster),
     };
     const r = wanted(ctx, this.waiting, this.shapes.values());
     if (r !== null) {
@@ -954,7 +1060,8 @@
     m.state = "gone";
     for (const p of [...m.placements.values()]) this.lost(p, why, now);
     this.cluster.machines.delete(name);
-    if (m.stored || this.machineRecords.has(name)) this.machineRecords.set(name, false);
+    this.due.delete(m);
+    this.groups.remove(name, m.stored);
     this.needPlan = true;
   }
 
@@ -985,7 +1092,8 @@
         m.state === "booting" &&
         m.address !== "" &&
         !m.busy &&
-        now >= m.directAfter
+        now >= m.directAfter &&
+        this.looks.take(1, now)
       ) {
         m.busy = true;
         this.out.push({ kind: "show", machine: m.name, address: m.address });
@@ -1006,18 +1114,28 @@
   // ---------------------------------------------------------------- writes
 
   /** The next transaction, or null if there is nothing to write. At most `maxOps` changes. */
-  nextWrite(maxOps: number, maxBytes: number): Write | null {
+  nextWrite(maxOps: number, maxBytes: number, urgentOnly = false): Write | null {
     if (this.writing || this.bumping) return null;
     const w: Write = {
       conditions: [{ key: KEY.epoch, mark: this.epochMark }],
       changes: [],
       jobs: [],
-      machines: [],
+      groups: [],
     };
     let bytes = 200;
+    for (const g of this.groups.dirty()) {
+      if (w.changes.length + 1 > maxOps || (g.fresh === 0 && urgentOnly)) break;
+      if (bytes + g.bytes + 300 > maxBytes / 2) break;
+      bytes += g.bytes + 300;
+      const key = this.groups.key(g);
+      w.conditions.push({ key, mark: g.mark });
+      w.changes.push({ op: "put", key, value: g.toStored() });
+      w.groups.push({ group: g, version: g.version, names: [...g.entries.keys()] });
+    }
     for (const job of this.writeOrder()) {
       const id = job.spec.id;
       const ending = job.present === 0 && (job.cancelled || job.complete);
+      if (urgentOnly && !ending && job.placedVersion <= job.savedVersion) continue;
       const ops = ending ? (job.cancelled ? 3 : 2) : 1;
       if (w.changes.length + ops > maxOps) break;
       const conditions: Condition[] = [{ key: KEY.live(id), mark: job.mark }];
@@ -1046,17 +1164,6 @@
       w.changes.push(...changes);
       w.jobs.push({ job, version: ending ? null : job.version });
     }
-    for (const [name, present] of this.machineRecords) {
-      if (w.changes.length + 1 > maxOps || bytes > maxBytes - 500) break;
-      const m = this.cluster.machines.get(name);
-      if (present && m === undefined) continue;
-      bytes += 300;
-      if (present && m !== undefined) {
-        const value: StoredMachine = { a: m.address, t: m.type.name, z: m.zone, s: m.spot };
-        w.changes.push({ op: "put", key: KEY.machine(name), value });
-      } else w.changes.push({ op: "delete", key: KEY.machine(name) });
-      w.machines.push({ name, present });
-    }
     if (w.changes.length === 0) return null;
     this.writing = true;
     return w;
@@ -1068,10 +1175,8 @@
     for (const job of this.cluster.jobs.values()) {
       if (job.dirty || (job.present === 0 && (job.cancelled || job.complete))) dirty.push(job);
     }
-    const level = (j: LiveJob): number => {
-      for (const p of j.placements.values()) if (p.version > j.savedVersion) return 0;
-      return j.complete || j.cancelled ? 1 : 2;
-    };
+    const level = (j: LiveJob): number =>
+      j.placedVersion > j.savedVersion ? 0 : j.complete || j.cancelled ? 1 : 2;
     return dirty
       .map((job) => ({ job, level: level(job) }))
       .sort(
@@ -1084,7 +1189,7 @@
     for (const job of this.cluster.jobs.values()) {
       if (job.dirty || (job.present === 0 && (job.cancelled || job.complete))) return true;
     }
-    return this.machineRecords.size > 0;
+    return this.groups.urgent;
   }
 
   /**
@@ -1109,12 +1214,19 @@
         job.mark = Math.max(job.mark, revision);
         job.savedVersion = Math.max(job.savedVersion, version);
       }
-      for (const { name, present } of w.machines) {
-        if (this.machineRecords.get(name) === present) this.machineRecords.delete(name);
-        const m = this.cluster.machines.get(name);
-        if (m !== undefined) m.stored = present;
+      for (const { group, version, names } of w.groups) {
+        group.mark = revision;
+        group.saved = Math.max(group.saved, version);
+        for (const name of names) {
+          const m = this.cluster.machines.get(name);
+          if (m === undefined || m.stored) continue;
+          m.stored = true;
+          group.fresh--;
+          this.needPlan = true;
+        }
       }
     } else if (outcome !== "refused") {
+      this.groups.reread(records);
       for (const { job } of w.jobs) {
         this.recordChanged(records, job.spec.id, now);
         if (!records.live.has(job.spec.id) && records.finals.has(job.spec.id)) {
@@ -1123,7 +1235,9 @@
       }
     }
     const machines = new Set<Machine>();
-    for (const { job } of w.jobs) for (const p of job.everyPlacement()) machines.add(p.machine);
+    for (const { job } of w.jobs) {
+      for (const p of job.everyPlacement()) if (p.state === "planned") machines.add(p.machine);
+    }
     for (const m of machines) this.pump(m, now);
     return this.flush();
   }
@@ -1141,6 +1255,15 @@
   }
 }
 
+/** The message with the larger session and number is the newer one. */
+const isNewer = (r: Report, m: Machine): boolean =>
+  r.session > m.session || (r.session === m.session && r.seq > m.seq);
+
+function serves(m: Machine): boolean {
+  for (const p of m.placements.values()) if (p.job.spec.kind === "service") return true;
+  return false;
+}
+
 function* range(n: number): Generator<number> {
   for (let i = 0; i < n; i++) yield i;
 }
--- a/src/net/client.ts
+++ b/src/net/client.ts
@@ -137,6 +137,7 @@
 export class Peer {
   private idle: Connection[] = [];
   private open = 0;
+  private retired = false;
   private readonly host: string;
   private readonly port: number;
 
@@ -157,7 +158,10 @@
     }
     if (this.open >= this.maxOpen) throw new RequestFailed("too many connections", false);
     this.open++;
-    const c: Connection = new Connection(this.host, this.port, (x) => this.idle.push(x));
+    const c: Connection = new Connection(this.host, this.port, (x) => {
+      if (this.retired) x.close();
+      else this.idle.push(x);
+    });
     c.socket.once("close", () => {
       this.open--;
       this.idle = this.idle.filter((x) => x !== c);
@@ -203,7 +207,9 @@
     }
   }
 
+  /** Closes what is idle now, and what is in use once it is answered. */
   close(): void {
+    this.retired = true;
     for (const c of this.idle) c.close();
     this.idle = [];
   }
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -115,24 +115,32 @@
   return { job: name.slice(0, slash), task };
 }
 
-const taskIn = z
-  .object({
-    stride: z.string(),
-    mounting: whole,
-    stance: choice(TASK_STATE_IN),
-    cause: z.string().nullish(),
-    saved: z.boolean().nullish(),
-  })
-  .transform((t, ctx): TaskReport => {
-    const at = splitTask(t.stride);
-    if (at === null) {
-      ctx.addIssue({ code: "custom", message: "not a task name" });
-      return z.NEVER;
-    }
-    // An exit for a reason we do not know is an exit all the same.
-    const cause = t.stance === "exited" ? (CAUSE_IN[t.cause ?? ""] ?? "error") : null;
-    return { ...at, attempt: t.mounting, state: t.stance, cause, saved: t.saved ?? false };
-  });
+const isCount = (n: unknown): n is number => Number.isInteger(n) && (n as number) >= 0;
+
+/**
+ * One task of a report. A schema for each cost three quarters of what a report costs, and reports
+ * are most of what the term holder does; so these few fields are looked at one by one.
+ */
+function taskIn(t: unknown): TaskReport | null {
+  if (typeof t !== "object" || t === null) return null;
+  const { stride, mounting, stance, cause, saved } = t as Record<string, unknown>;
+  if (typeof stride !== "string" || typeof stance !== "string" || !isCount(mounting)) return null;
+  if (!Object.hasOwn(TASK_STATE_IN, stance)) return null;
+  const at = splitTask(stride);
+  if (at === null) return null;
+  const state = TASK_STATE_IN[stance]!;
+  // An exit for a reason we do not know is an exit all the same.
+  const why =
+    typeof cause === "string" && Object.hasOwn(CAUSE_IN, cause) ? CAUSE_IN[cause]! : "error";
+  return {
+    job: at.job,
+    task: at.task,
+    attempt: mounting,
+    state,
+    cause: state === "exited" ? why : null,
+    saved: saved === true,
+  };
+}
 
 const reportIn = z
   .object({
@@ -145,10 +153,19 @@
     tally: whole,
     rein: whole,
     recallS: finite.nullish(),
-    strides: z.array(taskIn),
+    strides: z.array(z.unknown()),
   })
-  .transform(
-    (r): Report => ({
+  .transform((r, ctx): Report => {
+    const tasks: TaskReport[] = [];
+    for (const x of r.strides) {
+      const t = taskIn(x);
+      if (t === null) {
+        ctx.addIssue({ code: "custom", message: "not a task" });
+        return z.NEVER;
+      }
+      tasks.push(t);
+    }
+    return {
       machine: r.mount,
       address: r.address,
       type: r.breed,
@@ -158,9 +175,9 @@
       seq: r.tally,
       token: r.rein,
       noticeS: r.recallS ?? null,
-      tasks: r.strides,
-    }),
-  );
+      tasks,
+    };
+  });
 
 export function decodeReport(body: unknown): Report | null {
   const r = reportIn.safeParse(body);
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -1,4 +1,7 @@
-/** Direct commands to workers. */
+/**
+ * Direct commands to workers. Connections are kept to those lately spoken to, within a part of the
+ * sockets that this node may have: every worker holds one of its own to us besides.
+ */
 
 import type { Command, Report } from "../core/model.js";
 import type { SendOutcome } from "../core/scheduler.js";
@@ -10,13 +13,21 @@
 export class Workers {
   private readonly peers = new Map<string, Peer>();
 
-  constructor(private readonly timeoutMs: number) {}
+  constructor(
+    private readonly timeoutMs: number,
+    private readonly maxKept: number,
+  ) {}
 
   private peer(address: string): Peer {
     let p = this.peers.get(address);
-    if (p === undefined) {
-      p = new Peer(address, 2);
-      this.peers.set(address, p);
+    // The map is kept in order of use.
+    if (p !== undefined) this.peers.delete(address);
+    p ??= new Peer(address, 2);
+    this.peers.set(address, p);
+    while (this.peers.size > this.maxKept) {
+      const [oldest, peer] = this.peers.entries().next().value!;
+      peer.close();
+      this.peers.delete(oldest);
     }
     return p;
   }
