--- /dev/null
+++ b/tests/left-out.test.ts
@@ -0,0 +1,119 @@
+/** Troubles that the protocol page left out: half-deaf machines, late copies, a holder left alone. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Holder, spec, task } from "./helpers.js";
+
+function ready(): Holder {
+  const h = new Holder();
+  h.report("m1a", []);
+  h.report("m2b", []);
+  h.trace();
+  return h;
+}
+
+test("a machine that reports but hears nothing takes no new work, and goes back to the cloud", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer(null);
+  h.trace();
+  h.dead.add("m1a");
+  h.submit(spec("k"));
+  assert.match(h.trace(), /write p\/k done= at=\[\["m2b"/);
+  h.answer([task("k", 0, 1)]);
+  for (let i = 0; i < 8; i++) {
+    h.report("m1a", []);
+    h.report("m2b", [task("k", 0, 1)]);
+    while (h.pending.length > 0) h.answer(null);
+    h.tick(1);
+  }
+  const t = h.trace();
+  assert.match(t, /cloud return m1a/);
+  // Until the cloud has it, the start that got no answer may still arrive there.
+  assert.equal(/m2b: start j/.test(t), false);
+  h.take(h.scheduler.returned(["m1a"], true, h.now));
+  h.tick();
+  assert.match(h.trace(), /send m2b: start j\/0#2/);
+});
+
+test("a machine whose lease ended although its reports were answered: its tasks start elsewhere", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer([task("j", 0, 1)]);
+  h.trace();
+  // It heard none of the answers, so it killed its tasks and began a new session.
+  h.report("m1a", [], { session: 2 });
+  assert.match(h.trace(), /write p\/j done= at=\[\["m..",\d,2,"0"\]\]/);
+});
+
+test("late copy to the same holder: nothing revives, ends or starts by it", () => {
+  const h = ready();
+  h.submit(spec("j"));
+  h.answer([task("j", 0, 1)]);
+  const old = h.makeReport("m1a", []);
+  h.report("m1a", [task("j", 0, 1)]);
+  const m = h.scheduler.cluster.machines.get("m1a")!;
+  const { lastHeard, lastRenewed } = m;
+  h.now += 2;
+  h.trace();
+  const { commands, outputs } = h.scheduler.report(old, h.now);
+  assert.deepEqual([commands, outputs], [[], []]);
+  assert.deepEqual([m.lastHeard, m.lastRenewed], [lastHeard, lastRenewed]);
+  h.scheduler.renewedWithout(old, h.now);
+  assert.deepEqual([m.lastHeard, m.lastRenewed], [lastHeard, lastRenewed]);
+  assert.equal(m.placements.size, 1);
+});
+
+test("late copy after a new session: the old session's tasks are neither back nor done", () => {
+  const h = ready();
+  h.submit(spec("j", { tasks: 1, checkpointS: 5 }));
+  h.answer([task("j", 0, 1)]);
+  const copy = h.makeReport("m1a", [task("j", 0, 1, "exited", "done")]);
+  h.report("m1a", [], { session: 2 });
+  h.trace();
+  h.scheduler.report(copy, h.now);
+  h.tick();
+  assert.equal(/d\/j/.test(h.trace()), false);
+});
+
+test("late copy to a successor: an older token neither frees a placement nor lets work start", () => {
+  const old = ready();
+  old.submit(spec("j"));
+  old.answer([task("j", 0, 1)]);
+  const copy = old.makeReport("m1a", []);
+  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  h.trace();
+  const { commands } = h.scheduler.report(copy, h.now);
+  assert.deepEqual(commands, []);
+  h.submit(spec("k"));
+  const t = h.trace();
+  assert.equal(/start/.test(t), false);
+  assert.equal(h.scheduler.cluster.machines.get("m1a")!.placements.size, 1);
+});
+
+test("late copy after the machine was returned: it is not taken for a machine again", () => {
+  const h = ready();
+  const copy = h.makeReport("m1a", []);
+  h.take(h.scheduler.returned(["m1a"], true, h.now));
+  h.trace();
+  h.scheduler.report(copy, h.now);
+  h.submit(spec("j"));
+  assert.match(h.trace(), /at=\[\["m2b"/);
+  assert.equal(h.scheduler.cluster.machines.has("m1a"), false);
+});
+
+test("a zone that is cut off keeps its machines; silent ones of another zone are given up", () => {
+  const h = new Holder();
+  const names = [..."123456789"].flatMap((n) => [`m${n}a`, `m${n}b`]);
+  for (const m of names) h.report(m, []);
+  h.trace();
+  const live = names.filter((m) => m.endsWith("a") && m !== "m1a");
+  h.dead.add("m1a");
+  for (const m of names) if (m.endsWith("b")) h.dead.add(m);
+  for (let i = 0; i < 8; i++) {
+    for (const m of live) h.report(m, []);
+    h.tick(1);
+  }
+  const returned = [...h.trace().matchAll(/cloud return (.*)/g)].map((x) => x[1]);
+  assert.deepEqual([...new Set(returned)], ["m1a"]);
+});
