Placements of one attempt share one list in a job's value: more tasks in flight

Attempt and session now stand once for all machines of a pass, and the bound is worked out from what the value may come to at worst.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -3,7 +3,7 @@
 import type { JobSpec, MachineType, Team } from "./model.js";
 import { residuals, written } from "./pipeline.js";
 import { Ranges } from "./ranges.js";
-import type { StoredJob, StoredPlacement } from "./records.js";
+import type { StoredJob, StoredPlacements } from "./records.js";
 
 /**
  * Where a placement stands. `loaded`: read from the state after a takeover, nothing known of it.
@@ -159,8 +159,6 @@
   readonly strays = new Set<Placement>();
   cancelled = false;
   started = false;
-  /** Length of the stored value when last written. */
-  size = 0;
   backoffUntil = Number.NEGATIVE_INFINITY;
   errors = 0;
   readonly errorMachines = new Set<string>();
@@ -229,17 +227,53 @@
     yield* this.strays;
   }
 
+  /** The most bytes that a number of this job and what separates it take in a value. */
+  get taskBytes(): number {
+    return String(this.spec.tasks).length + 1;
+  }
+
+  /**
+   * The most bytes that the stored value may come to as tasks end in any order: then each task in
+   * flight may stand by itself, among those placed and between those done.
+   */
+  worstBytes(): number {
+    this.fixedBytes ??=
+      400 + JSON.stringify(this.spec).length + JSON.stringify(written(this.dependencies)).length;
+    const machines = new Set<string>();
+    const starts = new Set<string>();
+    for (const p of this.placements.values()) {
+      machines.add(`${p.machine.name} ${p.attempt}`);
+      starts.add(`${p.attempt} ${p.session}`);
+    }
+    let names = 0;
+    for (const m of machines) names += m.length + 6;
+    return (
+      this.fixedBytes +
+      names +
+      24 * starts.size +
+      2 * this.taskBytes * (this.placements.size + this.done.spanCount)
+    );
+  }
+  private fixedBytes: number | null = null;
+
   toStored(): StoredJob {
-    const groups = new Map<string, { at: [string, number, number]; tasks: number[] }>();
+    const starts = new Map<string, { at: [number, number]; on: Map<string, number[]> }>();
     for (const p of this.placements.values()) {
-      const key = `${p.machine.name} ${p.session} ${p.attempt}`;
-      const g = groups.get(key);
-      if (g === undefined)
-        groups.set(key, { at: [p.machine.name, p.session, p.attempt], tasks: [p.task] });
-      else g.tasks.push(p.task);
+      const key = `${p.attempt} ${p.session}`;
+      let s = starts.get(key);
+      if (s === undefined) {
+        s = { at: [p.attempt, p.session], on: new Map() };
+        starts.set(key, s);
+      }
+      const tasks = s.on.get(p.machine.name);
+      if (tasks === undefined) s.on.set(p.machine.name, [p.task]);
+      else tasks.push(p.task);
+    }
+    const pl: StoredPlacements[] = [];
+    for (const s of starts.values()) {
+      const on = [...s.on].flatMap(([name, tasks]) => [name, Ranges.of(tasks).toString()]);
+      pl.push([...s.at, on]);
     }
-    const pl: StoredPlacement[] = [];
-    for (const g of groups.values()) pl.push([...g.at, Ranges.of(g.tasks).toString()]);
     return {
       j: this.spec,
       at: this.submittedAt,
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -381,12 +381,24 @@
 function placeTasks(job: LiveJob, ctx: PlanContext, care: GpuCare): void {
   const quota = ctx.cluster.quotaSlots(job.spec);
   if (quota <= 0) return;
-  // Each machine and run of tasks takes a few dozen bytes of the pipeline's one value.
-  if (job.size > 0.6 * ctx.valueBytes) return;
-  const entries = Math.floor((0.8 * ctx.valueBytes - job.size) / 48);
-  const tasks = take(job.pending(), Math.min(quota, Math.max(entries, 1) * 4));
-  if (tasks.length === 0) return;
-  place(job, tasks, candidates(job, ctx, care).slice(0, Math.max(entries, 1)), ctx);
+  if (job.pendingCount === 0) return;
+  const on = candidates(job, ctx, care);
+  if (on.length === 0) return;
+  // A pipeline is one value of bounded length: no more is placed than it can hold.
+  let room = 0.95 * ctx.valueBytes - job.worstBytes();
+  let n = 0;
+  let machines = 0;
+  for (const c of on) {
+    room -= c.machine.name.length + 12;
+    const fit = Math.min(c.fits, Math.floor(room / (2 * job.taskBytes)));
+    if (fit < 1) break;
+    room -= fit * 2 * job.taskBytes;
+    n += fit;
+    machines++;
+    if (n >= quota) break;
+  }
+  const tasks = take(job.pending(), Math.min(quota, n));
+  if (tasks.length > 0) place(job, tasks, on.slice(0, machines), ctx);
 }
 
 /**
--- a/src/core/ranges.ts
+++ b/src/core/ranges.ts
@@ -25,6 +25,9 @@
   get size(): number {
     return this.count;
   }
+  get spanCount(): number {
+    return this.spans.length;
+  }
 
   /** Index of the first span that ends at or after n. */
   private find(n: number): number {
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -20,8 +20,26 @@
   types: "types",
 } as const;
 
-/** Machine, session, attempt and task ranges of tasks that count as being there. */
-export type StoredPlacement = [machine: string, session: number, attempt: number, tasks: string];
+/**
+ * Tasks that count as being there: for each attempt and session, machines by turns with the ranges
+ * of tasks on them. Many machines share one attempt, and a value holds few KiB.
+ */
+export type StoredPlacements = readonly [attempt: number, session: number, on: readonly string[]];
+
+export interface PlacedRanges {
+  readonly machine: string;
+  readonly session: number;
+  readonly attempt: number;
+  readonly tasks: string;
+}
+
+export function* placedIn(stored: readonly StoredPlacements[]): Generator<PlacedRanges> {
+  for (const [attempt, session, on] of stored) {
+    for (let i = 0; i + 1 < on.length; i += 2) {
+      yield { machine: on[i]!, session, attempt, tasks: on[i + 1]! };
+    }
+  }
+}
 
 export interface StoredJob {
   /** The submission as it was accepted. */
@@ -38,7 +56,7 @@
   readonly o: number;
   /** Tasks done. */
   readonly done: string;
-  readonly pl: readonly StoredPlacement[];
+  readonly pl: readonly StoredPlacements[];
 }
 
 export interface StoredFinal {
@@ -134,7 +152,7 @@
     const done = Ranges.parse(live.value.done).size;
     if (this.cancels.has(id)) return { id, state: "cancelled", done, running: 0 };
     let running = 0;
-    for (const p of live.value.pl) running += Ranges.parse(p[3]).size;
+    for (const p of placedIn(live.value.pl)) running += Ranges.parse(p.tasks).size;
     return { id, state: running > 0 ? "running" : "queued", done, running };
   }
 }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -32,7 +32,7 @@
   typeAllowed,
 } from "./planner.js";
 import { Ranges } from "./ranges.js";
-import { KEY, type Records, type StoredFinal } from "./records.js";
+import { KEY, placedIn, type Records, type StoredFinal, type StoredPlacements } from "./records.js";
 import {
   machinesInZones,
   offerKey,
@@ -195,7 +195,6 @@
     }
     if (job === undefined) {
       job = new LiveJob(stored.value, stored.mark);
-      job.size = JSON.stringify(stored.value).length;
       this.cluster.jobs.set(id, job);
       this.adopt(job, stored.value.pl, now);
       this.noteShape(job.spec);
@@ -207,12 +206,8 @@
     if (records.cancels.has(id) && !job.cancelled) this.cancel(job, now);
   }
 
-  private adopt(
-    job: LiveJob,
-    stored: readonly (readonly [string, number, number, string])[],
-    now: number,
-  ) {
-    for (const [name, session, attempt, tasks] of stored) {
+  private adopt(job: LiveJob, stored: readonly StoredPlacements[], now: number) {
+    for (const { machine: name, session, attempt, tasks } of placedIn(stored)) {
       let m = this.cluster.machines.get(name);
       if (m === undefined) {
         // No record of the machine: a stand-in that counts until the cloud says it is gone.
@@ -1138,6 +1133,7 @@
       if (urgentOnly && !ending && job.placedVersion <= job.savedVersion) continue;
       const ops = ending ? (job.cancelled ? 3 : 2) : 1;
       if (w.changes.length + ops > maxOps) break;
+      let size = 400;
       const conditions: Condition[] = [{ key: KEY.live(id), mark: job.mark }];
       const changes: Change[] = [];
       if (ending) {
@@ -1154,10 +1150,9 @@
       } else {
         if (!job.dirty) continue;
         const value = job.toStored();
-        job.size = JSON.stringify(value).length;
+        size += JSON.stringify(value).length;
         changes.push({ op: "put", key: KEY.live(id), value });
       }
-      const size = (ending ? 100 : job.size) + 300;
       if (bytes + size > maxBytes && w.changes.length > 0) break;
       bytes += size;
       w.conditions.push(...conditions);
--- a/tests/at-size.test.ts
+++ b/tests/at-size.test.ts
@@ -126,6 +126,19 @@
   assert.match(h.trace(), /start large\/0#1/);
 });
 
+test("a job of 1,200 tasks has hundreds in flight on scattered room, within one value", () => {
+  const h = crowd();
+  h.store();
+  // Four tasks to a machine, as whole machines are rarely free.
+  h.submit(spec("j", { tasks: 1200, team: "maps", cpus: 1 }));
+  const j = h.scheduler.cluster.jobs.get("j")!;
+  assert.ok(j.placements.size >= 350, `${j.placements.size} in flight`);
+  const value = h.records.live.get("j")!.value;
+  assert.ok(JSON.stringify(value).length < 8 * 1024);
+  assert.ok(JSON.stringify(value).length <= j.worstBytes());
+  assert.ok(j.worstBytes() < 8 * 1024);
+});
+
 test("a late write of an older group of machines fails by its own mark", () => {
   const h = new Holder();
   h.storing = false;
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -2,7 +2,7 @@
 
 import type { JobSpec, MachineType, Report, TaskReport } from "../src/core/model.js";
 import { ownDependencies, written } from "../src/core/pipeline.js";
-import { KEY, Records } from "../src/core/records.js";
+import { KEY, placedIn, Records, type StoredPlacements } from "../src/core/records.js";
 import { type Output, Scheduler, type Write } from "../src/core/scheduler.js";
 import { decodeSettings } from "../src/wire/settings.js";
 
@@ -206,10 +206,11 @@
       .filter((c) => !c.key.startsWith("g/"))
       .map((c) => {
         if (c.op === "delete") return `remove ${c.key}`;
-        const v = c.value as { s?: string; done?: string; pl?: unknown[] };
+        const v = c.value as { s?: string; done?: string; pl?: StoredPlacements[] };
+        const at = [...placedIn(v.pl ?? [])].map((p) => [p.machine, p.session, p.attempt, p.tasks]);
         return v.s !== undefined
           ? `${c.key} ${v.s}`
-          : `${c.key} done=${v.done} at=${JSON.stringify(v.pl)}`;
+          : `${c.key} done=${v.done} at=${JSON.stringify(at)}`;
       });
     if (what.length > 0) this.lines.push(`write ${what.join("; ")}`);
     this.records.apply(events, this.revision);
