--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -38,6 +38,8 @@
   readonly now: () => number;
   /** Seconds after which a refused client may come back. */
   readonly retryAfterS: number;
+  /** Seconds after which an idle connection is closed. */
+  readonly idleS: number;
   /** Told of faults of our own. */
   readonly fault: (error: Error) => void;
 }
@@ -46,7 +48,7 @@
   const app = Fastify({
     logger: false,
     bodyLimit: BODY_LIMIT,
-    keepAliveTimeout: 120_000,
+    keepAliveTimeout: options.idleS * 1000,
     forceCloseConnections: true,
     exposeHeadRoutes: false,
   });
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -11,6 +11,11 @@
     lease_ratio: ratio(0.5, 0.2, 10),
     /** How long a holder that lost the state service answers reports, as a ratio to lease_s. */
     grace_ratio: ratio(1, 0, 4),
+    /**
+     * How long a node that is cut off keeps machines with replicas or gangs alive, as a ratio to
+     * lease_s. It is no shorter than the grace.
+     */
+    keep_ratio: ratio(6, 0, 50),
   }),
   renting: z.object({
     /** Free room kept for each class of jobs, as a ratio to what it uses. */
@@ -29,6 +34,7 @@
 export interface Operator {
   readonly termLeaseRatio: number;
   readonly graceRatio: number;
+  readonly keepRatio: number;
   readonly spareRatio: number;
   readonly maxMachines: number;
   readonly idleLeases: number;
@@ -67,6 +73,7 @@
     operator: {
       termLeaseRatio: term.lease_ratio,
       graceRatio: term.grace_ratio,
+      keepRatio: Math.max(term.keep_ratio, term.grace_ratio),
       spareRatio: renting.spare_ratio,
       maxMachines: renting.max_machines,
       idleLeases: renting.idle_leases,
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -9,10 +9,11 @@
 import { Cloud } from "./cloud/client.js";
 import type { Operator } from "./config/operator.js";
 import { Bucket } from "./core/bucket.js";
+import { Caretaker } from "./core/caretaker.js";
 import { AdaptiveLimit } from "./core/limit.js";
 import type { JobSpec, JobView, MachineType, Report } from "./core/model.js";
 import { KEY, Records, type StoredLead, type Touched } from "./core/records.js";
-import { canEverRun, type Output, Scheduler, type Write } from "./core/scheduler.js";
+import { canEverRun, isKept, type Output, Scheduler, type Write } from "./core/scheduler.js";
 import { Term } from "./core/term.js";
 import { Mesh } from "./mesh/mesh.js";
 import { Follower } from "./state/follower.js";
@@ -48,6 +49,8 @@
   private bumpWanted = false;
   private stopped = false;
   private readonly graceS: number;
+  private readonly keepS: number;
+  private readonly caretaker: Caretaker;
   private readonly ttlS: number;
 
   constructor(
@@ -58,6 +61,8 @@
     const c = settings.cluster;
     this.ttlS = Math.max(0.5, operator.termLeaseRatio * c.reportS);
     this.graceS = operator.graceRatio * c.leaseS;
+    this.keepS = operator.keepRatio * c.leaseS;
+    this.caretaker = new Caretaker(c.leaseS, this.contactGapS(), this.keepS);
     const answerMs = (c.reportS * 1000) / 3;
     this.store = new Store(settings.state, steady, answerMs);
     this.cloud = new Cloud(settings.cloud, c.reportS * 1000);
@@ -88,6 +93,8 @@
       ),
       now: steady,
       retryAfterS: 1,
+      // A peer that vanished without a word must not hold a socket for long.
+      idleS: Math.max(10, 4 * c.reportS),
       fault: (error) => this.log.error({ err: error }, "request failed"),
     });
   }
@@ -119,10 +126,10 @@
 
   /** The watch comes back several times in this time, so silence means that we are cut off. */
   private stateOk(): boolean {
-    return (
-      this.follower.loaded &&
-      steady() - this.store.lastAnswer < (2 * this.settings.cluster.reportS) / 3
-    );
+    return this.follower.loaded && steady() - this.store.lastAnswer < this.contactGapS();
+  }
+  private contactGapS(): number {
+    return (2 * this.settings.cluster.reportS) / 3;
   }
 
   /**
@@ -169,16 +176,41 @@
         this.queueTick();
         return { kind: "answer", token, commands };
       }
-      if (this.term.answering(now, this.graceS) && r.token <= this.term.epoch) {
+      const graceS = this.runsKept(r) ? this.keepS : this.graceS;
+      if (this.term.answering(now, graceS) && r.token <= this.term.epoch) {
         this.scheduler.renewedWithout(r, now);
         return { kind: "answer", token: this.term.epoch, commands: [] };
       }
       return { kind: "unavailable" };
     }
+    if (this.aloneWith(r, now)) {
+      return { kind: "answer", token: this.records.epoch.value.n, commands: [] };
+    }
     const holder = this.records.lead?.value.member ?? null;
     return { kind: "elsewhere", holder: holder === this.settings.member ? null : holder };
   }
 
+  /** Replicas or gang tasks are on the machine, by what its worker itself says. */
+  private runsKept(r: Report): boolean {
+    return r.tasks.some((t) => {
+      const job = t.state === "exited" ? undefined : this.records.live.get(t.job);
+      return job !== undefined && isKept(job.value.j.kind);
+    });
+  }
+
+  /** Cut off from everybody but the workers of this zone, which would lose what they run. */
+  private aloneWith(r: Report, now: number): boolean {
+    return (
+      this.follower.loaded &&
+      r.zone === this.settings.zone &&
+      r.token <= this.records.epoch.value.n &&
+      this.caretaker.mayAnswer(now) &&
+      !this.mesh.siblingReachesState() &&
+      !this.mesh.holderSpeaks() &&
+      this.runsKept(r)
+    );
+  }
+
   // ---------------------------------------------------------------- the term
 
   /**
@@ -264,6 +296,8 @@
           maxMachines: this.operator.maxMachines,
           idleReturnS: this.operator.idleLeases * c.leaseS,
           graceS: this.graceS,
+          keepS: this.keepS,
+          othersIn: this.othersIn(),
         },
         epoch,
         this.records.epoch.mark,
@@ -281,6 +315,12 @@
     }
   }
 
+  private othersIn(): Map<string, number> {
+    const out = new Map<string, number>();
+    for (const s of this.settings.siblings) out.set(s.zone, (out.get(s.zone) ?? 0) + 1);
+    return out;
+  }
+
   private async renewLoop(term: Term): Promise<void> {
     while (this.term === term && !this.stopped) {
       await sleep(this.ttlS / 4);
@@ -289,7 +329,7 @@
       if (this.term !== term) return;
       if (r === "ok") term.renewed(sentAt);
       else if (r === "ended") this.lose("the lease ended");
-      else if (!term.answering(steady(), this.graceS)) this.lose("no renewal for too long");
+      else if (!term.answering(steady(), this.keepS)) this.lose("no renewal for too long");
     }
   }
 
@@ -332,6 +372,7 @@
   private async tickLoop(): Promise<void> {
     const every = this.settings.cluster.reportS / 20;
     while (!this.stopped) {
+      if (this.follower.loaded) this.caretaker.contact(this.store.lastAnswer);
       this.tick();
       await sleep(every);
     }
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -71,6 +71,8 @@
   seq = -1;
   /** The worker has answered under the present token, so older commands are dropped there. */
   fenced = false;
+  /** It has seen a token of this holder: what a former one answers is dropped there. */
+  ours = false;
   /** `booting` until its worker is heard, `gone` once proven. */
   state: "booting" | "up" | "returning" | "gone" = "booting";
   /** Last time a message from the worker arrived. */
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -41,8 +41,13 @@
 export const offerKey = (type: string, zone: string, spot: boolean): string =>
   `${type} ${zone} ${spot ? "spot" : "ordinary"}`;
 
+/** A machine that fell silent offers no room, though it may come back. */
 function willTake(m: Machine): boolean {
-  return (m.state === "booting" || m.state === "up") && m.drain === null && m.takenAt === null;
+  return (
+    (m.state === "booting" || (m.state === "up" && m.deafSince === null)) &&
+    m.drain === null &&
+    m.takenAt === null
+  );
 }
 
 /** Free room for a shape on machines that are up or coming up. */
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -89,6 +89,10 @@
   readonly idleReturnS: number;
   /** Seconds for which a former holder may still have answered reports after its term. */
   readonly graceS: number;
+  /** The same for machines that run replicas or gang tasks. */
+  readonly keepS: number;
+  /** Other controllers in each zone: cut off with its workers, each may keep them for `keepS`. */
+  readonly othersIn: ReadonlyMap<string, number>;
 }
 
 /** A task this many times slower than the middle one of its job speaks against its machine. */
@@ -384,6 +388,7 @@
       for (const [key, epoch] of m.doubts) if (epoch < this.epoch) m.doubts.delete(key);
     }
     m.fenced = fenced;
+    if (fenced) m.ours = true;
     if (fenced) this.reconcile(m, r, now);
     this.due.add(m);
     return m;
@@ -861,8 +866,9 @@
       // It reports, but hears nothing: its lease will end, and what is sent to it is lost.
       const deaf = m.deafSince !== null && now - m.deafSince > 2 * reportS;
       if (deaf && believable(m)) this.askReturn(m, "cannot be reached");
-      const lapse = m.lastRenewed + leaseS * (1 + 2 * CLOCK_DRIFT) + 1;
-      if (now > lapse && m.placements.size > 0) {
+      // No cut that anybody waits out lasts so long: its place is better filled anew.
+      if (quiet > this.options.keepS + leaseS) this.askReturn(m, "silent for too long");
+      if (m.placements.size > 0 && now > this.lapse(m)) {
         // Whatever it does now, its lease is over, and with it every task of that session.
         for (const p of [...m.placements.values()]) this.lost(p, "lease over", now);
         m.session++;
@@ -879,6 +885,23 @@
     }
   }
 
+  /**
+   * When the worker's lease is over for certain, if nothing more is heard: a lease after any node
+   * can last have renewed it. Machines with replicas or gang tasks are kept alive in a zone that is
+   * cut off (`Caretaker`), by one node after another at the worst.
+   */
+  private lapse(m: Machine): number {
+    const { leaseS, reportS } = this.settings;
+    const { keepS, othersIn } = this.options;
+    const lease = leaseS * (1 + 2 * CLOCK_DRIFT) + 1;
+    let renewed = m.lastRenewed;
+    if (keeps(m)) {
+      if (!m.ours) renewed = Math.max(renewed, this.startedAt + keepS);
+      renewed += (othersIn.get(m.zone) ?? 0) * (keepS + lease + reportS);
+    }
+    return renewed + lease;
+  }
+
   /**
    * A machine on which several tasks run far longer than others of their jobs is faulty: it is
    * emptied and given back. Few at a time, in case it is the jobs after all.
@@ -1259,6 +1282,14 @@
   return false;
 }
 
+/** Nodes that are cut off keep such machines alive; by what runs there, so both sides agree. */
+export const isKept = (kind: JobSpec["kind"]): boolean => kind !== "array";
+
+function keeps(m: Machine): boolean {
+  for (const p of m.placements.values()) if (isKept(p.job.spec.kind)) return true;
+  return false;
+}
+
 function* range(n: number): Generator<number> {
   for (let i = 0; i < n; i++) yield i;
 }
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -14,6 +14,8 @@
   private readonly inbound = new Set<Socket>();
   /** Steady time of the last beat that said its sender reaches the state service. */
   private okAt = Number.NEGATIVE_INFINITY;
+  /** Steady time of the last beat from a term holder. */
+  private holderAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly listenOn: string,
@@ -30,6 +32,11 @@
     return this.now() - this.okAt < 4 * this.everyS;
   }
 
+  /** A term holder, acting or not, spoke a moment ago. */
+  holderSpeaks(): boolean {
+    return this.now() - this.holderAt < 4 * this.everyS;
+  }
+
   async start(): Promise<void> {
     const server = createServer((socket) => void this.receive(socket));
     this.server = server;
@@ -56,7 +63,10 @@
     const reader = new BeatReader();
     try {
       for await (const chunk of socket) {
-        for (const b of reader.feed(chunk as Buffer)) if (b.stateOk) this.okAt = this.now();
+        for (const b of reader.feed(chunk as Buffer)) {
+          if (b.stateOk) this.okAt = this.now();
+          if (b.holds) this.holderAt = this.now();
+        }
       }
     } catch {
       // The sender went away, or is none of ours.
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -290,36 +290,37 @@
   return r.success ? r.data.breeds : null;
 }
 
-const listIn = z.object({
-  mounts: z.array(
-    z
-      .object({
-        nameId: z.string(),
-        address: z.string().nullish(),
-        breed: z.string(),
-        paddock: z.string(),
-        loaners: z.boolean(),
-        stance: z.enum(["booting", "running", "failed"]),
-        ageS: z.number(),
-      })
-      .transform(
-        (m): ListedMachine => ({
-          name: m.nameId,
-          address: m.address ?? "",
-          type: m.breed,
-          zone: m.paddock,
-          spot: m.loaners,
-          state: m.stance,
-          ageS: m.ageS,
-        }),
-      ),
-  ),
-  more: z.boolean().nullish(),
-});
+const listIn = z.object({ mounts: z.array(z.unknown()), more: z.boolean().nullish() });
+const LISTED = new Set<unknown>(["booting", "running", "failed"]);
+
+/** Lists of many hundred machines come every few seconds, so they are read as tasks are. */
+function machineIn(m: unknown): ListedMachine | null {
+  if (typeof m !== "object" || m === null) return null;
+  const { nameId, address, breed, paddock, loaners, stance, ageS } = m as Record<string, unknown>;
+  if (typeof nameId !== "string" || typeof breed !== "string" || typeof paddock !== "string")
+    return null;
+  if (typeof loaners !== "boolean" || typeof ageS !== "number" || !LISTED.has(stance)) return null;
+  return {
+    name: nameId,
+    address: typeof address === "string" ? address : "",
+    type: breed,
+    zone: paddock,
+    spot: loaners,
+    state: stance as ListedMachine["state"],
+    ageS,
+  };
+}
 
 export function decodeMachines(body: unknown): { machines: ListedMachine[]; more: boolean } | null {
   const r = listIn.safeParse(body);
-  return r.success ? { machines: r.data.mounts, more: r.data.more ?? false } : null;
+  if (!r.success) return null;
+  const machines: ListedMachine[] = [];
+  for (const x of r.data.mounts) {
+    const m = machineIn(x);
+    if (m === null) return null;
+    machines.push(m);
+  }
+  return { machines, more: r.data.more ?? false };
 }
 
 const rentedIn = z.object({ mounts: z.array(z.string()) });
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -132,7 +132,16 @@
   readonly dead = new Set<string>();
   private seq = 100;
 
-  constructor(options: { records?: Records; epoch?: number; now?: number; graceS?: number } = {}) {
+  constructor(
+    options: {
+      records?: Records;
+      epoch?: number;
+      now?: number;
+      graceS?: number;
+      keepS?: number;
+      othersIn?: Map<string, number>;
+    } = {},
+  ) {
     this.records = options.records ?? new Records();
     if (options.records === undefined) this.records.reset([], 0);
     this.now = options.now ?? 1000;
@@ -146,7 +155,14 @@
     if (!("settings" in s)) throw new Error("test settings");
     this.scheduler = new Scheduler(
       s.settings.cluster,
-      { spare: 0, maxMachines: 0, idleReturnS: 1e9, graceS: options.graceS ?? 21 },
+      {
+        spare: 0,
+        maxMachines: 0,
+        idleReturnS: 1e9,
+        graceS: options.graceS ?? 21,
+        keepS: options.keepS ?? options.graceS ?? 21,
+        othersIn: options.othersIn ?? new Map(),
+      },
       epoch,
       this.revision,
       this.now,
--- a/tests/left-out.test.ts
+++ b/tests/left-out.test.ts
@@ -1,6 +1,7 @@
 /** Troubles that the protocol page left out: half-deaf machines, late copies, a holder left alone. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Caretaker } from "../src/core/caretaker.js";
 import { Holder, spec, task } from "./helpers.js";
 
 function ready(): Holder {
@@ -117,3 +118,48 @@
   const returned = [...h.trace().matchAll(/cloud return (.*)/g)].map((x) => x[1]);
   assert.deepEqual([...new Set(returned)], ["m1a"]);
 });
+
+test("a node cut off with its zone answers by itself for a bounded time, after long contact only", () => {
+  // A lease of 21 s, contact every 2 s at least, kept for 126 s.
+  const c = new Caretaker(21, 2, 126);
+  const touch = (from: number, to: number): void => {
+    for (let t = from; t <= to; t++) c.contact(t);
+  };
+  touch(0, 15);
+  assert.equal(c.mayAnswer(20), false, "contact was too short");
+  touch(20, 60);
+  assert.equal(c.mayAnswer(61), false, "in contact");
+  assert.equal(c.mayAnswer(63), true);
+  assert.equal(c.mayAnswer(185), true);
+  assert.equal(c.mayAnswer(187), false, "for too long");
+  // Back for a moment: a worker that cannot reach the holder must run out of its lease.
+  touch(190, 200);
+  assert.equal(c.mayAnswer(205), false);
+});
+
+test("in a cut-off zone an array's tasks move after a lease, replicas only when nobody can keep them", () => {
+  const h = new Holder({ graceS: 0, keepS: 60, othersIn: new Map([["b", 1]]) });
+  for (const m of ["m1a", "m2a", "m3b", "m4b", "m5b"]) h.report(m, []);
+  h.submit(spec("web", { kind: "service", cpus: 4, zone: "b" }));
+  h.submit(spec("j", { cpus: 4, zone: "b" }));
+  while (h.pending.length > 0) {
+    const c = h.pending[0]!.commands[0]!;
+    h.answer([task(c.job, c.task, 1)]);
+  }
+  const at = (job: string): string =>
+    [...h.scheduler.cluster.jobs.get(job)!.placements.values()][0]?.machine.name ?? "";
+  const [web, j] = [at("web"), at("j")];
+  const began = h.now;
+  const moved = new Map<string, number>();
+  for (const m of ["m3b", "m4b", "m5b"]) h.dead.add(m);
+  for (let i = 0; i < 400 && moved.size < 2; i++) {
+    for (const m of ["m1a", "m2a"]) h.report(m, []);
+    h.tick(0.7);
+    if (at("web") !== web && !moved.has("web")) moved.set("web", h.now - began);
+    if (at("j") !== j && !moved.has("j")) moved.set("j", h.now - began);
+  }
+  const s = (job: string): number => moved.get(job) ?? Number.NaN;
+  assert.ok(s("j") > 21 && s("j") < 26, `array moved after ${s("j")} s`);
+  // 60 s by the other node, which may begin as late as a lease after it was last heard.
+  assert.ok(s("web") > 21 + 60 + 21 && s("web") < 115, `replica moved after ${s("web")} s`);
+});
