--- a/src/controller.ts
+++ b/src/controller.ts
@@ -45,6 +45,7 @@
   private tickQueued = false;
   /** Steady time before which no further pass is made for what comes in. */
   private tickAfter = Number.NEGATIVE_INFINITY;
+  private tickEnded = 0;
   private writing = false;
   private bumpWanted = false;
   private stopped = false;
@@ -307,7 +308,7 @@
       this.term = term;
       this.scheduler = scheduler;
       this.writes.setRate(this.writeShare(true));
-      this.log.info({ epoch, jobs: this.records.live.size }, "term taken");
+      this.log.warn({ epoch, jobs: this.records.live.size }, "term taken");
       this.perform(scheduler.load(this.records, now));
       void this.renewLoop(term);
     } finally {
@@ -335,7 +336,7 @@
 
   private lose(why: string): void {
     if (this.term === null) return;
-    this.log.info({ epoch: this.term.epoch, why }, "term lost");
+    this.log.warn({ epoch: this.term.epoch, why }, "term lost");
     void this.store.revoke(this.term.lease);
     this.term = null;
     this.scheduler = null;
@@ -395,6 +396,11 @@
     const began = steady();
     this.guarded(() => this.tickOnce());
     const ended = steady();
+    if (ended - began > this.settings.cluster.reportS / 4) {
+      const jobs = this.records.live.size;
+      this.log.warn({ tookS: ended - began, sinceS: began - this.tickEnded, jobs }, "long pass");
+    }
+    this.tickEnded = ended;
     this.tickAfter = ended + Math.max(this.settings.cluster.reportS / 100, 2 * (ended - began));
   }
 
