--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -167,11 +167,15 @@
       }
     }
     for (const id of records.live.keys()) this.recordChanged(records, id, now);
-    // Those that run replicas are fenced first.
+    // Those that run replicas are fenced at once. The others mostly come by themselves within a
+    // report interval, and a direct request costs as much again as their reports.
     const up = [...this.cluster.machines.values()];
     for (const m of up) if (serves(m)) this.due.add(m);
-    for (const m of up) if (m.placements.size > 0) this.due.add(m);
-    for (const m of up) this.due.add(m);
+    for (const m of up) {
+      if (this.due.has(m)) continue;
+      m.directAfter = now + this.settings.reportS * (m.placements.size > 0 ? 0.5 : 1);
+      this.due.add(m);
+    }
     return this.flush();
   }
 
