--- a/src/controller.ts
+++ b/src/controller.ts
@@ -100,10 +100,11 @@
     });
   }
 
-  /** The holder writes most: it has half of the changes a second, the others share the rest. */
+  /** The holder writes most: it has two thirds of the changes a second, the others share the rest. */
   private writeShare(holder: boolean): number {
     const c = this.settings.cluster;
-    return (c.stateWriteRps / 2) * (holder ? 1 : 1 / Math.max(1, c.nodes - 1));
+    const all = c.stateWriteRps / 3;
+    return holder ? 2 * all : all / Math.max(1, c.nodes - 1);
   }
 
   async start(): Promise<void> {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1191,14 +1191,21 @@
     return w;
   }
 
-  /** Placements first, since starts wait for them; then ends; then progress. */
+  /**
+   * Production placements first, then ends, since users wait for them and they are few; then other
+   * placements, of which a busy day has more than can be written; then progress. (Ends behind all
+   * placements: on a rough day 299 jobs were done and 25 users told.)
+   */
   private writeOrder(): LiveJob[] {
     const dirty: LiveJob[] = [];
     for (const job of this.cluster.jobs.values()) {
       if (job.dirty || (job.present === 0 && (job.cancelled || job.complete))) dirty.push(job);
     }
-    const level = (j: LiveJob): number =>
-      j.placedVersion > j.savedVersion ? 0 : j.complete || j.cancelled ? 1 : 2;
+    const level = (j: LiveJob): number => {
+      if (j.present === 0 && (j.cancelled || j.complete)) return 1;
+      if (j.placedVersion <= j.savedVersion) return 3;
+      return j.spec.priority === "production" ? 0 : 2;
+    };
     return dirty
       .map((job) => ({ job, level: level(job) }))
       .sort(
--- a/tests/at-size.test.ts
+++ b/tests/at-size.test.ts
@@ -172,3 +172,20 @@
     ["10.0.0.1:1", "small", "a", true, true],
   );
 });
+
+test("a job's end is stored before the placements of others that are not production", () => {
+  const h = new Holder();
+  h.report(name(0), []);
+  h.report(name(2), []);
+  h.submit(spec("old", { cpus: 4 }));
+  h.answer([task("old", 0, 1)]);
+  h.storing = false;
+  h.submit(spec("new", { cpus: 4, priority: "high" }));
+  h.submit(spec("web", { cpus: 1, kind: "service", priority: "production" }));
+  h.report(name(0), [task("old", 0, 1, "exited", "done")]);
+  const w = h.scheduler.nextWrite(32, 60_000)!;
+  assert.deepEqual(
+    w.jobs.map((x) => x.job.spec.id),
+    ["web", "old", "new"],
+  );
+});
