Cancelled tasks must not be kept alive; small gangs first, room held late, largest after two minutes

Now a machine that no stop reaches and that holds a cancelled task goes back to the cloud; a machine with a cancelled task is not kept; and while no controller of a zone is heard, a cancellation of what may run there is stored but told only once all of it is proven gone (503 with Retry-After until then).

Gangs: an aim counts a small gang as much as a large one, so the smallest area (machines times time) goes first among those in time; room is held from a quarter, and the largest go before all from half of the users' four minutes.

--- a/src/api/intake.ts
+++ b/src/api/intake.ts
@@ -5,7 +5,7 @@
 import type { Bucket } from "../core/bucket.js";
 import type { JobSpec } from "../core/model.js";
 import { ownDependencies, written } from "../core/pipeline.js";
-import { KEY, type StoredJob } from "../core/records.js";
+import { KEY, type StoredCancel, type StoredJob } from "../core/records.js";
 import type { Store } from "../state/store.js";
 import type { Change, Condition } from "../wire/state.js";
 
@@ -62,13 +62,14 @@
   }
 
   /** For a job that is known to have been accepted. */
-  cancel(id: string, wallMs: number): Promise<IntakeResult> {
+  cancel(id: string, wallMs: number, told = true): Promise<IntakeResult> {
+    const value: StoredCancel = { at: wallMs, told };
     return this.wish(
       [
         { key: KEY.final(id), mark: 0 },
         { key: KEY.cancel(id), mark: 0 },
       ],
-      { op: "put", key: KEY.cancel(id), value: { at: wallMs } },
+      { op: "put", key: KEY.cancel(id), value },
       100,
     );
   }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -84,6 +84,7 @@
         stateOk: this.stateOk(),
         holds: this.term !== null,
         epoch: this.records.epoch.value.n,
+        zone: Math.max(0, c.zones.indexOf(settings.zone)),
       }),
     );
     this.app = buildServer(this, {
@@ -163,7 +164,23 @@
 
   async cancel(id: string) {
     if (!this.stateOk()) return "unavailable" as const;
-    return this.intake.cancel(id, Date.now());
+    if (!this.mayBeKept(id)) return this.intake.cancel(id, Date.now());
+    // Users hear of it when all tasks are gone; until then they are asked to come back.
+    if (!this.records.cancels.has(id)) await this.intake.cancel(id, Date.now(), false);
+    return "unavailable" as const;
+  }
+
+  /**
+   * Tasks of the job may be in a zone of which no controller is heard. One that is cut off with the
+   * workers there may keep them alive for longer than a cancelled job's tasks may stay.
+   */
+  private mayBeKept(id: string): boolean {
+    const { zones } = this.settings.cluster;
+    for (const zone of this.records.zonesOf(id)) {
+      if (zone === this.settings.zone || !this.othersIn().has(zone)) continue;
+      if (!this.mesh.hearsZone(zones.indexOf(zone))) return true;
+    }
+    return false;
   }
 
   // ---------------------------------------------------------------- workers
@@ -192,8 +209,12 @@
     return { kind: "elsewhere", holder: holder === this.settings.member ? null : holder };
   }
 
-  /** Replicas or gang tasks are on the machine, by what its worker itself says. */
+  /**
+   * Replicas or gang tasks are on the machine, by what its worker itself says, and nothing that was
+   * cancelled, which must be gone soon.
+   */
   private runsKept(r: Report): boolean {
+    if (r.tasks.some((t) => this.records.cancels.has(t.job))) return false;
     return r.tasks.some((t) => {
       const job = t.state === "exited" ? undefined : this.records.live.get(t.job);
       return job !== undefined && isKept(job.value.j.kind);
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -339,6 +339,8 @@
  */
 function holdRoom(job: LiveJob, ctx: PlanContext): void {
   const { spec } = job;
+  // What is held stands idle, so not before the gang has had its chance to find room at once.
+  if (patience(job, ctx) < 0.25) return;
   if (spec.tasks < 2 || job.present > 0 || ctx.cluster.quotaSlots(spec) < spec.tasks) return;
   const zones = new Map<string, { free: number; all: number; held: number }>();
   const fitting: Machine[] = [];
@@ -518,11 +520,14 @@
   }
   const urgency = new Map<LiveJob, number>();
   for (const j of waiting) urgency.set(j, latestStart(j, ctx, within));
+  const late = (j: LiveJob): number => (urgency.get(j) === Infinity ? 1 : 0);
   const starving = neglected(waiting, ctx);
   const line = (j: LiveJob): number => (starving.has(j) ? Math.min(1, j.hold) : j.hold);
   return waiting.sort(
     (a, b) =>
       line(a) - line(b) ||
+      late(a) - late(b) ||
+      (starving.has(a) && starving.has(b) ? 0 : area(a) - area(b)) ||
       urgency.get(a)! - urgency.get(b)! ||
       a.submittedAt - b.submittedAt ||
       (a.spec.id < b.spec.id ? -1 : 1),
@@ -532,26 +537,36 @@
 /** The users' bound: every job, the largest too, is to begin within four minutes. */
 const BEGIN_S = 240;
 
+/** Part of the users' bound that a job has waited. */
+const patience = (j: LiveJob, ctx: PlanContext): number =>
+  (ctx.wallMs - j.submittedAt) / (1000 * BEGIN_S);
+
 /**
- * Of each class, the largest job that has waited for half of that bound without a start. It goes
- * before all but production, one of a class at a time, so that those still in time lose little.
+ * Of each class, the largest jobs that have waited for half of that bound without a start. They go
+ * before all but production, so few at a time that those still in time lose little: for gangs, that
+ * must gather machines of one zone, one for each zone, and else one.
  */
 function neglected(waiting: readonly LiveJob[], ctx: PlanContext): Set<LiveJob> {
-  const worst = new Map<string, LiveJob>();
+  const worst = new Map<string, LiveJob[]>();
   for (const j of waiting) {
-    if (j.done.size > 0 || j.present > 0) continue;
-    if (ctx.wallMs - j.submittedAt < 500 * BEGIN_S) continue;
-    const w = worst.get(j.spec.class);
-    if (
-      w === undefined ||
-      j.spec.tasks > w.spec.tasks ||
-      (j.spec.tasks === w.spec.tasks && j.submittedAt < w.submittedAt)
-    )
-      worst.set(j.spec.class, j);
+    if (j.done.size > 0 || j.present > 0 || patience(j, ctx) < 0.5) continue;
+    const of = worst.get(j.spec.class);
+    if (of === undefined) worst.set(j.spec.class, [j]);
+    else of.push(j);
   }
-  return new Set(worst.values());
+  const out = new Set<LiveJob>();
+  for (const jobs of worst.values()) {
+    jobs.sort((a, b) => b.spec.tasks - a.spec.tasks || a.submittedAt - b.submittedAt);
+    const most = jobs[0]!.spec.kind === "gang" ? ctx.settings.zones.length : 1;
+    for (const j of jobs.slice(0, most)) out.add(j);
+  }
+  return out;
 }
 
+/** What a gang takes up: machines for how long. An aim counts a small one as much as a large one. */
+const area = (j: LiveJob): number =>
+  j.spec.kind === "gang" ? j.spec.tasks * Math.max(1, j.spec.estimateS) : 0;
+
 /**
  * The latest time of day (ms) at which a start still meets some aim that the settings state for
  * the job. What can meet none any more comes last: an hour's backlog served in order of arrival
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -59,6 +59,15 @@
   readonly pl: readonly StoredPlacements[];
 }
 
+/**
+ * `told` false: the job had tasks in a zone that nobody reached, where they may be kept alive. Then
+ * users hear of the cancellation only when all tasks are proven gone.
+ */
+export interface StoredCancel {
+  readonly at: number;
+  readonly told: boolean;
+}
+
 export interface StoredFinal {
   readonly s: "done" | "cancelled";
   readonly n: number;
@@ -85,7 +94,9 @@
 export class Records {
   readonly live = new Map<string, Marked<StoredJob>>();
   readonly finals = new Map<string, StoredFinal>();
-  readonly cancels = new Set<string>();
+  /** Cancelled jobs whose end is not stored yet, and whether users may be told. */
+  readonly cancels = new Map<string, { told: boolean }>();
+  private readonly zoneOf = new Map<string, string>();
   readonly groups = new Map<number, Marked<StoredGroup>>();
   lead: Marked<StoredLead> | null = null;
   types: readonly MachineType[] | null = null;
@@ -124,10 +135,13 @@
     const name = key.slice(2);
     if (key.startsWith("p/")) this.live.set(name, { value: value as StoredJob, mark });
     else if (key.startsWith("d/")) this.finals.set(name, value as StoredFinal);
-    else if (key.startsWith("x/")) this.cancels.add(name);
-    else if (key.startsWith("g/"))
-      this.groups.set(Number(name), { value: value as StoredGroup, mark });
-    else if (key === KEY.lead) this.lead = { value: value as StoredLead, mark };
+    else if (key.startsWith("x/")) {
+      this.cancels.set(name, { told: (value as StoredCancel).told !== false });
+    } else if (key.startsWith("g/")) {
+      const machines = value as StoredGroup;
+      this.groups.set(Number(name), { value: machines, mark });
+      for (const [machine, m] of Object.entries(machines)) this.zoneOf.set(machine, m[2]);
+    } else if (key === KEY.lead) this.lead = { value: value as StoredLead, mark };
     else if (key === KEY.types) this.types = value as MachineType[];
     else if (key === KEY.epoch) this.epoch = { value: value as { n: number }, mark };
   }
@@ -141,6 +155,16 @@
     else if (key === KEY.lead) this.lead = null;
   }
 
+  /** Zones in which tasks of the job may be. */
+  zonesOf(id: string): Set<string> {
+    const out = new Set<string>();
+    for (const p of placedIn(this.live.get(id)?.value.pl ?? [])) {
+      const zone = this.zoneOf.get(p.machine);
+      if (zone !== undefined) out.add(zone);
+    }
+    return out;
+  }
+
   /** What a user is told of a job, or null if no such job was ever accepted. */
   view(id: string): JobView | null {
     const final = this.finals.get(id);
@@ -150,7 +174,7 @@
     const live = this.live.get(id);
     if (live === undefined) return null;
     const done = Ranges.parse(live.value.done).size;
-    if (this.cancels.has(id)) return { id, state: "cancelled", done, running: 0 };
+    if (this.cancels.get(id)?.told) return { id, state: "cancelled", done, running: 0 };
     let running = 0;
     for (const p of placedIn(live.value.pl)) running += Ranges.parse(p.tasks).size;
     return { id, state: running > 0 ? "running" : "queued", done, running };
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -870,6 +870,9 @@
       // It reports, but hears nothing: its lease will end, and what is sent to it is lost.
       const deaf = m.deafSince !== null && now - m.deafSince > 2 * reportS;
       if (deaf && believable(m)) this.askReturn(m, "cannot be reached");
+      // What was cancelled must be gone soon, also where no stop arrives.
+      const unreached = quiet > 1.5 * reportS || deaf;
+      if (unreached && holdsCancelled(m)) this.askReturn(m, "holds a cancelled task");
       // No cut that anybody waits out lasts so long: its place is better filled anew.
       if (quiet > this.options.keepS + leaseS) this.askReturn(m, "silent for too long");
       if (m.placements.size > 0 && now > this.lapse(m)) {
@@ -1296,6 +1299,11 @@
 /** Nodes that are cut off keep such machines alive; by what runs there, so both sides agree. */
 export const isKept = (kind: JobSpec["kind"]): boolean => kind !== "array";
 
+function holdsCancelled(m: Machine): boolean {
+  for (const p of m.placements.values()) if (p.job.cancelled) return true;
+  return false;
+}
+
 function keeps(m: Machine): boolean {
   for (const p of m.placements.values()) if (isKept(p.job.spec.kind)) return true;
   return false;
--- a/src/mesh/codec.ts
+++ b/src/mesh/codec.ts
@@ -3,18 +3,19 @@
  *
  *   0      magic 0x50          1      kind (1: beat)
  *   2..3   length of the rest  4      flags (1: reaches the state service, 2: holds the term)
- *   5..12  epoch it knows
+ *   5..12  epoch it knows      13     its zone, by its place in the settings
  */
 export interface Beat {
   readonly stateOk: boolean;
   readonly holds: boolean;
   readonly epoch: number;
+  readonly zone: number;
 }
 
 const MAGIC = 0x50;
 const BEAT = 1;
 const HEAD = 4;
-const BEAT_LENGTH = 9;
+const BEAT_LENGTH = 10;
 
 export function encodeBeat(b: Beat): Buffer {
   const out = Buffer.alloc(HEAD + BEAT_LENGTH);
@@ -23,6 +24,7 @@
   out.writeUInt16BE(BEAT_LENGTH, 2);
   out.writeUInt8((b.stateOk ? 1 : 0) | (b.holds ? 2 : 0), 4);
   out.writeBigUInt64BE(BigInt(b.epoch), 5);
+  out.writeUInt8(b.zone, 13);
   return out;
 }
 
@@ -43,6 +45,7 @@
           stateOk: (flags & 1) !== 0,
           holds: (flags & 2) !== 0,
           epoch: Number(this.pending.readBigUInt64BE(5)),
+          zone: this.pending.readUInt8(13),
         });
       }
       this.pending = this.pending.subarray(HEAD + length);
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -16,6 +16,7 @@
   private okAt = Number.NEGATIVE_INFINITY;
   /** Steady time of the last beat from a term holder. */
   private holderAt = Number.NEGATIVE_INFINITY;
+  private readonly zoneAt = new Map<number, number>();
 
   constructor(
     private readonly listenOn: string,
@@ -32,6 +33,11 @@
     return this.now() - this.okAt < 4 * this.everyS;
   }
 
+  /** A controller of that zone that reaches the state service spoke a moment ago. */
+  hearsZone(zone: number): boolean {
+    return this.now() - (this.zoneAt.get(zone) ?? Number.NEGATIVE_INFINITY) < 2.5 * this.everyS;
+  }
+
   /** A term holder, acting or not, spoke a moment ago. */
   holderSpeaks(): boolean {
     return this.now() - this.holderAt < 4 * this.everyS;
@@ -66,6 +72,7 @@
         for (const b of reader.feed(chunk as Buffer)) {
           if (b.stateOk) this.okAt = this.now();
           if (b.holds) this.holderAt = this.now();
+          if (b.stateOk) this.zoneAt.set(b.zone, this.now());
         }
       }
     } catch {
--- a/tests/left-out.test.ts
+++ b/tests/left-out.test.ts
@@ -163,3 +163,39 @@
   // 60 s by the other node, which may begin as late as a lease after it was last heard.
   assert.ok(s("web") > 21 + 60 + 21 && s("web") < 115, `replica moved after ${s("web")} s`);
 });
+
+test("ran_cancelled: a machine that no stop reaches goes back when a task on it was cancelled", () => {
+  // On a day with a zone cut off, tasks kept alive there outlived their cancellation by minutes.
+  const h = new Holder({ keepS: 126, othersIn: new Map([["b", 1]]) });
+  const cut = ["m2b", "m3b", "m4b", "m5b"];
+  const near = ["m1a", "m6a", "m7a"];
+  for (const m of [...near, ...cut]) h.report(m, []);
+  h.submit(spec("web", { kind: "service", zone: "b" }));
+  h.answer([task("web", 0, 1)]);
+  const on = [...h.scheduler.cluster.jobs.get("web")!.placements.values()][0]!.machine.name;
+  for (const m of cut) h.dead.add(m);
+  for (let i = 0; i < 5; i++) {
+    for (const m of near) h.report(m, []);
+    h.tick(0.8);
+  }
+  assert.equal(/cloud return/.test(h.trace()), false);
+  h.cancel("web");
+  while (h.pending.length > 0) h.answer(null);
+  for (let i = 0; i < 2; i++) {
+    for (const m of near) h.report(m, []);
+    h.tick(0.8);
+  }
+  assert.match(h.trace(), new RegExp(`cloud return ${on}`));
+});
+
+test("ran_cancelled: users hear of it only when all is gone if tasks may be kept out of reach", () => {
+  const h = ready();
+  h.submit(spec("web", { kind: "service" }));
+  h.answer([task("web", 0, 1)]);
+  assert.deepEqual([...h.records.zonesOf("web")], ["a"]);
+  h.cancel("web", false);
+  assert.equal(h.records.view("web")?.state, "running");
+  h.answer([task("web", 0, 1, "exited", "stopped")]);
+  assert.equal(h.records.view("web")?.state, "cancelled");
+  assert.match(h.trace(), /d\/web cancelled/);
+});
