--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -129,6 +129,8 @@
   /** Machines to which a request is out that only tells them the token. */
   private readonly fences = new Set<string>();
   private readonly looks: Bucket;
+  /** Machines that are being looked at. */
+  private readonly shows = new Set<string>();
   private bumping = false;
   private bumpedAt: number;
   private slowCheckedAt = Number.NEGATIVE_INFINITY;
@@ -318,6 +320,7 @@
   }
 
   shown(machine: string, report: Report | null, now: number): Output[] {
+    this.shows.delete(machine);
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return [];
     m.busy = false;
@@ -673,7 +676,7 @@
     }
     if (!m.fenced) {
       this.due.add(m);
-      if (this.fences.size >= Math.max(8, this.settings.sockets / 50)) return;
+      if (this.fences.size >= this.directs) return;
       this.fences.add(m.name);
       m.busy = true;
       this.out.push({
@@ -847,7 +850,7 @@
       this.out.push({ kind: "resign", why: `hears ${heard} of ${known.length} workers` });
       return;
     }
-    for (const m of up) {
+    for (const m of [...up.filter(serves), ...up.filter((x) => !serves(x))]) {
       const quiet = now - m.lastHeard;
       // Late reports, and what does not hear us, are looked after at once. An earlier look finds
       // the end of a machine sooner, but costs as much as a report: so many a second, and those
@@ -860,10 +863,10 @@
         !m.busy &&
         now >= m.directAfter &&
         m.address !== "" &&
+        this.shows.size < this.directs &&
         (overdue || this.looks.take(1, now))
       ) {
-        m.busy = true;
-        this.out.push({ kind: "show", machine: m.name, address: m.address });
+        this.look(m);
       }
       const silent = quiet > 2 * reportS || (quiet > 1.3 * reportS && m.unanswered >= 2);
       if (silent && believable(m)) this.askReturn(m, "silent");
@@ -936,6 +939,21 @@
     if (worst !== undefined) this.drain(worst, "slow");
   }
 
+  private look(m: Machine): void {
+    m.busy = true;
+    this.shows.add(m.name);
+    this.out.push({ kind: "show", machine: m.name, address: m.address });
+  }
+
+  /**
+   * Requests of one sort that are out at a time, of those that only look or only tell the token.
+   * (After a takeover a thousand workers were late at once; looking at all of them in one moment
+   * left no time for their reports, and most lost their leases.)
+   */
+  private get directs(): number {
+    return Math.max(8, this.settings.sockets / 50);
+  }
+
   /** Unanswered starts that matter (cancelled, or ended and not to be forgotten) need a new token. */
   private checkDoubts(now: number): void {
     if (this.bumping || now - this.bumpedAt < this.settings.leaseS / 2) return;
@@ -1120,8 +1138,7 @@
         now >= m.directAfter &&
         this.looks.take(1, now)
       ) {
-        m.busy = true;
-        this.out.push({ kind: "show", machine: m.name, address: m.address });
+        this.look(m);
       }
     }
     if (newer) {
--- a/tests/at-size.test.ts
+++ b/tests/at-size.test.ts
@@ -67,6 +67,19 @@
   assert.ok(shows <= 40 * 0.25 * 9 + 10, `${shows} looks in 9 s`);
 });
 
+test("a thousand late workers are looked at a few at a time", () => {
+  const h = crowd();
+  h.store();
+  const asked = new Set<string>();
+  for (let t = 0; t < 3; t++) {
+    h.now += 1.4;
+    for (const o of h.scheduler.tick(h.now, h.now * 1000)) {
+      if (o.kind === "show") asked.add(o.machine);
+    }
+  }
+  assert.ok(asked.size > 0 && asked.size <= 1500 / 50, `${asked.size} asked`);
+});
+
 test("what nothing is due to costs no message while time passes", () => {
   const h = crowd();
   h.store();
