--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -149,7 +149,9 @@
 export class LiveJob {
   readonly spec: JobSpec;
   readonly submittedAt: number;
-  dependencies: Expression[];
+  /** Residuals as stored; parsed only when an event residuates them, so that a takeover is quick. */
+  private residualsText: readonly string[];
+  private parsed: Expression[] | null = null;
   version: number;
   savedVersion: number;
   mark: number;
@@ -183,7 +185,7 @@
   constructor(stored: StoredJob, mark: number) {
     this.spec = stored.j;
     this.submittedAt = stored.at;
-    this.dependencies = residuals(stored.r);
+    this.residualsText = stored.r;
     this.version = stored.v;
     this.savedVersion = stored.v;
     this.mark = mark;
@@ -193,6 +195,15 @@
     this.started = stored.o > 0;
   }
 
+  get dependencies(): readonly Expression[] {
+    this.parsed ??= residuals(this.residualsText);
+    return this.parsed;
+  }
+  set dependencies(next: Expression[]) {
+    this.parsed = next;
+    this.residualsText = written(next);
+  }
+
   get dirty(): boolean {
     return this.version > this.savedVersion;
   }
@@ -240,7 +251,7 @@
    */
   worstBytes(): number {
     this.fixedBytes ??=
-      400 + JSON.stringify(this.spec).length + JSON.stringify(written(this.dependencies)).length;
+      400 + JSON.stringify(this.spec).length + JSON.stringify(this.residualsText).length;
     const machines = new Set<string>();
     const starts = new Set<string>();
     for (const p of this.placements.values()) {
@@ -279,7 +290,7 @@
     return {
       j: this.spec,
       at: this.submittedAt,
-      r: written(this.dependencies),
+      r: this.residualsText,
       v: this.version,
       n: this.nextAttempt,
       o: this.owner,
