--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -173,7 +173,7 @@
   hold = 0;
   /** No search for tasks to stop before then: the last one found none. */
   roomAfter = Number.NEGATIVE_INFINITY;
-  /** Zone in which room is held for a gang until all its tasks fit. */
+  /** Zone in which room is held for a gang until all its tasks fit; "" if any zone will do. */
   heldZone: string | null = null;
   /** Time at which tasks of it first waited for room. */
   waitingSince: number | null = null;
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -127,13 +127,20 @@
 }
 
 /**
- * Free GPU machines that are kept so: half as many as GPU work occupies, and two at least. Those
+ * Free GPU machines that are kept so: half as many as GPU work occupies, and two at least, and as
+ * many as waiting GPU tasks need (arrays took each as it came free, and gangs waited for minutes
+ * beside a quarter of all GPUs). Those
  * that hold the images GPU jobs use come first, because fetching takes them longer than anything.
  */
 export function careForGpus(cluster: Cluster, specs: readonly JobSpec[]): GpuCare {
   const images = new Set<string>();
-  for (const j of cluster.jobs.values()) if (j.spec.gpus > 0) images.add(j.spec.image);
   let busy = 0;
+  let waiting = 0;
+  for (const j of cluster.jobs.values()) {
+    if (j.spec.gpus <= 0) continue;
+    images.add(j.spec.image);
+    if (!j.cancelled && !j.complete) waiting += j.pendingCount;
+  }
   const free: { m: Machine; held: number }[] = [];
   for (const m of cluster.machines.values()) {
     if (m.type.gpus <= 0 || m.state !== "up" || m.drain !== null || m.takenAt !== null) continue;
@@ -149,7 +156,7 @@
     free.push({ m, held });
   }
   free.sort((a, b) => b.held - a.held || (a.m.name < b.m.name ? -1 : 1));
-  const keep = Math.max(2, Math.ceil(busy / 2));
+  const keep = Math.max(2, Math.ceil(busy / 2), waiting);
   return { specs, kept: new Set(free.slice(0, keep).map((f) => f.m)) };
 }
 
@@ -339,8 +346,8 @@
  */
 function holdRoom(job: LiveJob, ctx: PlanContext): void {
   const { spec } = job;
-  // What is held stands idle, so not before the gang has had its chance to find room at once.
-  if (patience(job, ctx) < 0.25) return;
+  const before = job.heldZone;
+  job.heldZone = null;
   if (spec.tasks < 2 || job.present > 0 || ctx.cluster.quotaSlots(spec) < spec.tasks) return;
   const zones = new Map<string, { free: number; all: number; held: number }>();
   const fitting: Machine[] = [];
@@ -361,14 +368,14 @@
   let best = -1;
   for (const [name, z] of zones) {
     if (z.all < spec.tasks) continue;
-    const worth = z.free + z.held + (name === job.heldZone ? spec.tasks / 4 : 0);
+    const worth = z.free + z.held + (name === before ? spec.tasks / 4 : 0);
     if (worth > best) {
       best = worth;
       zone = name;
     }
   }
   if (zone === null) return;
-  job.heldZone = spec.oneZone ? zone : null;
+  job.heldZone = zone;
   let need = spec.tasks;
   fitting.sort((a, b) => imageWait(a, spec) - imageWait(b, spec) || (a.name < b.name ? -1 : 1));
   for (const m of fitting) {
@@ -443,7 +450,7 @@
 ): { machine: Machine; victims: Placement[] } | null {
   if (ctx.cluster.quotaSlots(job.spec) <= 0) return null;
   const room = spreadRoom(job);
-  const zone = boundZone(job) ?? job.heldZone;
+  const zone = boundZone(job) ?? (job.heldZone || null);
   let best: { machine: Machine; victims: Placement[] } | null = null;
   let bestCost = Infinity;
   for (const m of fitted(job.spec, ctx)) {
@@ -622,6 +629,7 @@
     if (job.spec.kind === "gang") {
       if (placeGang(job, ctx, care)) job.heldZone = null;
       else if (holding++ < ctx.settings.zones.length * 2) holdRoom(job, ctx);
+      else job.heldZone = null;
     } else placeTasks(job, ctx, care);
     if (job.pendingCount > 0) {
       job.waitingSince ??= ctx.now;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -790,6 +790,8 @@
     if (rank > 0 && waited < this.settings.reportS * rank) return;
     let need = job.pendingCount;
     if (job.spec.kind === "gang" && job.present > 0) return;
+    // Room made here and there is of no use to tasks that must start together in one zone.
+    if (job.spec.kind === "gang" && job.spec.tasks > 1 && job.heldZone === null) return;
     for (const m of this.cluster.machines.values()) {
       if (m.reservedFor?.job === job.spec.id) {
         need -= slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
