--- /dev/null
+++ b/tests/alone.test.ts
@@ -0,0 +1,114 @@
+/** A controller that loses the state service and the other controllers, but not its workers. */
+import assert from "node:assert/strict";
+import { createServer } from "node:net";
+import { test } from "node:test";
+import { pino } from "pino";
+import { DEFAULT_OPERATOR } from "../src/config/operator.js";
+import { Controller } from "../src/controller.js";
+import type { Report } from "../src/core/model.js";
+import { ownDependencies, written } from "../src/core/pipeline.js";
+import { Peer } from "../src/net/client.js";
+import { decode, encode } from "../src/wire/msgpack.js";
+import { encodeReport } from "../src/wire/schema.js";
+import { decodeSettings } from "../src/wire/settings.js";
+import { settingsText, spec, task } from "./helpers.js";
+import { CloudStandIn, StateStandIn } from "./stand-ins.js";
+
+const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
+
+async function freePort(): Promise<number> {
+  const s = createServer();
+  await new Promise<void>((r) => s.listen(0, "127.0.0.1", r));
+  const { port } = s.address() as { port: number };
+  await new Promise((r) => s.close(r));
+  return port;
+}
+
+test("cut off with its workers it keeps replicas alive without commands, and refuses users at once", {
+  timeout: 60_000,
+}, async () => {
+  const state = new StateStandIn();
+  const cloud = new CloudStandIn();
+  await state.start();
+  await cloud.start();
+  const put = (key: string, data: unknown): void => {
+    state.keys.set(key, { data, mark: 1, tether: null });
+  };
+  put("lead", { member: "n9", epoch: 7, lease: 99 });
+  put("epoch", { n: 7 });
+  const job = (id: string, change: object): void => {
+    const r = written(ownDependencies(id));
+    put(`p/${id}`, { j: spec(id, change), at: 0, r, v: 1, n: 1, o: 0, done: "", pl: [] });
+  };
+  job("web", { kind: "service" });
+  job("gone", { kind: "service" });
+  put("x/gone", { at: 0, told: true });
+  job("list", { kind: "array" });
+
+  const base = JSON.parse(settingsText()) as { settings: object };
+  const address = `127.0.0.1:${await freePort()}`;
+  const read = decodeSettings(
+    JSON.stringify({
+      ...base,
+      serve_on: address,
+      mesh_addr: `127.0.0.1:${await freePort()}`,
+      siblings: [{ member: "n9", location: "b", addr: `127.0.0.1:${await freePort()}` }],
+      services: { cloud: cloud.address, state: state.address },
+      settings: {
+        ...base.settings,
+        workers: { report_s: 0.6, lease_s: 1, gang_wait_s: 10, gang_peer_s: 3, cancel_s: 10 },
+        state: { rps: 1000, write_rps: 500, value_kb: 8, txn_ops: 32 },
+      },
+    }),
+  );
+  if (!("settings" in read)) throw new Error(read.faults.join("; "));
+  const node = new Controller(read.settings, DEFAULT_OPERATOR, pino({ level: "silent" }));
+  const peer = new Peer(address, 8);
+  let seq = 1;
+  const report = async (name: string, change: Partial<Report> = {}) => {
+    const r: Report = {
+      machine: "m-1",
+      address: "127.0.0.1:1",
+      type: "small",
+      zone: "a",
+      spot: false,
+      session: 1,
+      seq: seq++,
+      token: 7,
+      noticeS: null,
+      tasks: [task(name, 0, 1)],
+      ...change,
+    };
+    const reply = await peer.request("POST", "/checkin", encode(encodeReport(r)), 2000);
+    const body = decode(reply.body) as { rein?: number; calls?: unknown[]; groom?: string };
+    return { status: reply.status, body };
+  };
+  try {
+    await node.start();
+    for (let i = 0; i < 100 && !node.healthy(); i++) await sleep(0.05);
+    // In contact: workers are sent to the holder, whatever they run.
+    assert.deepEqual(await report("web"), { status: 421, body: { groom: "n9" } });
+    await sleep(3);
+    state.stop();
+    await sleep(0.8);
+    assert.deepEqual(await report("web"), { status: 200, body: { rein: 7, calls: [] } });
+    assert.equal((await report("web", { token: 6 })).status, 200);
+    assert.equal((await report("web", { token: 8 })).status, 421, "somebody else has taken over");
+    assert.equal((await report("web", { zone: "b" })).status, 421, "not of this zone");
+    assert.equal((await report("list")).status, 421, "arrays start again elsewhere");
+    const both = [task("web", 0, 1), task("gone", 0, 1)];
+    assert.equal((await report("web", { tasks: both })).status, 421, "cancelled, must be gone");
+    const began = performance.now();
+    const asked = await peer.request("GET", "/api/jobs/web", null, 2000);
+    assert.equal(asked.status, 503);
+    assert.equal(asked.headers.get("retry-after"), "1");
+    assert.ok(performance.now() - began < 500, "refused at once");
+    await sleep(6);
+    assert.equal((await report("web")).status, 421, "no longer than keep_ratio leases");
+  } finally {
+    peer.close();
+    await node.stop();
+    cloud.stop();
+    state.stop();
+  }
+});
