The holder's budget of changes has a burst of its own second's worth

So every write so far held three changes at the most, progress was hardly ever written, and nothing was forgotten on the workers until a job's next placement.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -73,7 +73,7 @@
     this.follower = new Follower(this.store, this.records, steady, spacing, answerMs, (t) =>
       this.changed(t),
     );
-    this.writes = new Bucket(this.writeShare(false), Math.max(2, this.writeShare(false)));
+    this.writes = new Bucket(this.writeShare(false), this.writeBurst(false));
     this.intake = new Intake(this.store, this.writes, steady, c.txnOps, TXN_BYTES, c.reportS / 3);
     this.mesh = new Mesh(
       settings.meshAddress,
@@ -101,11 +101,21 @@
     });
   }
 
-  /** The holder writes most: it has two thirds of the changes a second, the others share the rest. */
+  /**
+   * The holder writes most: it has two thirds of the changes a second. Each of the others may use a
+   * sixth, as submissions come in turns and rarely to all at once; if they do, some are refused and
+   * sent again a moment later.
+   */
   private writeShare(holder: boolean): number {
     const c = this.settings.cluster;
-    const all = c.stateWriteRps / 3;
-    return holder ? 2 * all : all / Math.max(1, c.nodes - 1);
+    return c.stateWriteRps * (holder ? 2 / 3 : 1 / 6);
+  }
+  /**
+   * One second's worth, which the state service allows. (The holder was once left with the burst of
+   * another node: too small for any write but the smallest.)
+   */
+  private writeBurst(holder: boolean): number {
+    return Math.max(4, this.writeShare(holder));
   }
 
   async start(): Promise<void> {
@@ -329,7 +339,7 @@
       scheduler.setTypes(this.types);
       this.term = term;
       this.scheduler = scheduler;
-      this.writes.setRate(this.writeShare(true));
+      this.writes.setRate(this.writeShare(true), this.writeBurst(true));
       this.log.warn({ epoch, jobs: this.records.live.size }, "term taken");
       this.perform(scheduler.load(this.records, now));
       void this.renewLoop(term);
@@ -363,7 +373,7 @@
     this.term = null;
     this.scheduler = null;
     this.bumpWanted = false;
-    this.writes.setRate(this.writeShare(false));
+    this.writes.setRate(this.writeShare(false), this.writeBurst(false));
   }
 
   /** Raises the token under the same term, so that starts still under way are dropped. */
@@ -468,7 +478,7 @@
     const w = scheduler.nextWrite(
       Math.min(room, this.settings.cluster.txnOps),
       TXN_BYTES,
-      room < this.writeShare(true) / 2,
+      room < this.writeBurst(true) / 2,
     );
     if (w === null) return;
     this.writes.force(w.changes.length, now);
--- a/src/core/bucket.ts
+++ b/src/core/bucket.ts
@@ -5,7 +5,7 @@
 
   constructor(
     private rate: number,
-    private readonly burst: number,
+    private burst: number,
   ) {
     this.level = burst;
   }
@@ -17,8 +17,10 @@
     }
   }
 
-  setRate(rate: number): void {
+  setRate(rate: number, burst: number): void {
     this.rate = rate;
+    this.burst = burst;
+    this.level = Math.min(this.level, burst);
   }
 
   take(n: number, now: number): boolean {
--- a/tests/pieces.test.ts
+++ b/tests/pieces.test.ts
@@ -79,6 +79,14 @@
   assert.equal(b.available(100), 5);
 });
 
+test("a budget that is given a new rate has its burst as well", () => {
+  const b = new Bucket(5, 5);
+  b.setRate(20, 20);
+  assert.equal(b.available(10), 20);
+  b.setRate(5, 5);
+  assert.equal(b.available(10), 5);
+});
+
 test("the limit settles where requests begin to queue, and comes back", () => {
   // A server that does four at a time in 0.1 s each: more in progress only wait longer.
   const limit = new AdaptiveLimit(2, 200, 0.05);
