--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -109,7 +109,8 @@
   refusedUntil = Number.NEGATIVE_INFINITY;
   /** The weakest hold of any task on it, as of the last pass: who is no stronger finds nothing here. */
   weakest = -1;
-  reservedFor: { job: string; until: number } | null = null;
+  /** Room being made for a job by stopping others, or, in this pass, held for one. */
+  reservedFor: { job: string; until: number; held: boolean } | null = null;
   cpusUsed = 0;
   gpusUsed = 0;
   memoryUsed = 0;
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -341,8 +341,8 @@
 
 /**
  * A gang of many machines would never find them free at one moment while smaller jobs take each as
- * it comes free. So what is free in one zone is held for it, in the order of urgency, and what waits
- * behind it takes the rest.
+ * it comes free. So what is free in one zone is held for it, and what waits behind it in this pass takes
+ * the rest. The next pass begins anew: a gang that comes first in line does not find it held.
  */
 function holdRoom(job: LiveJob, ctx: PlanContext): void {
   const { spec } = job;
@@ -382,8 +382,7 @@
     if (spec.oneZone && m.zone !== zone) continue;
     if (need <= 0) break;
     need -= slots(spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
-    m.reservedFor ??= { job: spec.id, until: 0 };
-    m.reservedFor.until = Math.max(m.reservedFor.until, ctx.now + ctx.settings.reportS);
+    m.reservedFor ??= { job: spec.id, until: ctx.now + ctx.settings.reportS, held: true };
   }
 }
 
@@ -549,9 +548,8 @@
   (ctx.wallMs - j.submittedAt) / (1000 * BEGIN_S);
 
 /**
- * Of each class, the largest jobs that have waited for half of that bound without a start. They go
- * before all but production, so few at a time that those still in time lose little: for gangs, that
- * must gather machines of one zone, one for each zone, and else one.
+ * Of each class, the largest job that has waited for half of that bound without a start. It goes
+ * before all but production, one of a class at a time, so that those still in time lose little.
  */
 function neglected(waiting: readonly LiveJob[], ctx: PlanContext): Set<LiveJob> {
   const worst = new Map<string, LiveJob[]>();
@@ -564,8 +562,7 @@
   const out = new Set<LiveJob>();
   for (const jobs of worst.values()) {
     jobs.sort((a, b) => b.spec.tasks - a.spec.tasks || a.submittedAt - b.submittedAt);
-    const most = jobs[0]!.spec.kind === "gang" ? ctx.settings.zones.length : 1;
-    for (const j of jobs.slice(0, most)) out.add(j);
+    out.add(jobs[0]!);
   }
   return out;
 }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -741,7 +741,8 @@
     for (const m of this.cluster.machines.values()) {
       if (m.reservedFor === null) continue;
       const job = this.cluster.jobs.get(m.reservedFor.job);
-      if (job === undefined || job.pendingCount === 0 || now > m.reservedFor.until) {
+      const { held, until } = m.reservedFor;
+      if (held || job === undefined || job.pendingCount === 0 || now > until) {
         m.reservedFor = null;
       }
     }
@@ -799,6 +800,7 @@
       found.machine.reservedFor = {
         job: job.spec.id,
         until: ctx.now + this.settings.gangPeerS + 2 * this.settings.reportS,
+        held: false,
       };
       for (const v of found.victims) {
         this.stopWithMates(v, `room for ${job.spec.id}`, v.job.spec.saveS);
