--- a/src/controller.ts
+++ b/src/controller.ts
@@ -579,11 +579,14 @@
           .then((r) => back(() => scheduler.sent(o.machine, o.commands, r, steady())));
         return;
       }
-      case "show":
-        void this.workers
-          .show(o.address)
-          .then((r) => back(() => scheduler.shown(o.machine, r, steady())));
+      case "show": {
+        const began = steady();
+        void this.workers.show(o.address).then((r) => {
+          const late = steady() - began > (1.25 * this.settings.cluster.reportS) / 3;
+          back(() => scheduler.shown(o.machine, r, steady(), late));
+        });
         return;
+      }
       case "rent":
         void (
           acting ? this.cloud.rent(o.name, o.type, o.zone, o.spot, o.count) : refusedRent()
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -91,6 +91,8 @@
 const SLOW_RATIO = 2.5;
 /** Passes over all that waits, at most so many in a report interval. */
 const PLANS = 40;
+/** Part of all machines that may be given up as silent in a report interval. */
+const GIVE_UP = 0.05;
 /** Searches of one pass for tasks to stop. */
 const LOOKS_FOR_ROOM = 16;
 /** Looks a second, for each core, at machines whose report is not late yet. */
@@ -311,13 +313,15 @@
     this.hear(report, now);
   }
 
-  shown(machine: string, report: Report | null, now: number): Output[] {
+  /** `late`: the answer was not waited for in time, as this node was held up; that tells nothing. */
+  shown(machine: string, report: Report | null, now: number, late = false): Output[] {
     this.shows.delete(machine);
     const m = this.cluster.machines.get(machine);
     if (m === undefined) return [];
     m.busy = false;
-    if (report === null) this.unanswered(m, now);
-    else this.reached(m, report, now);
+    if (report !== null) this.reached(m, report, now);
+    else if (late) m.directAfter = now + this.settings.reportS / 3;
+    else this.unanswered(m, now);
     this.pump(m, now);
     return this.flush();
   }
@@ -864,11 +868,15 @@
       ) {
         this.look(m);
       }
-      const silent = quiet > 2 * reportS || (quiet > 1.3 * reportS && m.unanswered >= 2);
-      if (silent && believable(m)) this.askReturn(m, "silent");
+      // After a takeover workers must find us first, while we have most to do.
+      const heardAfter = m.ours ? 0 : leaseS / 3;
+      const silent =
+        quiet > 2 * reportS + heardAfter ||
+        (quiet > 1.3 * reportS + heardAfter && m.unanswered >= 2);
+      if (silent && believable(m)) this.giveUp(m, "silent", up.length, now);
       // It reports, but hears nothing: its lease will end, and what is sent to it is lost.
       const deaf = m.deafSince !== null && now - m.deafSince > 2 * reportS;
-      if (deaf && believable(m)) this.askReturn(m, "cannot be reached");
+      if (deaf && believable(m)) this.giveUp(m, "cannot be reached", up.length, now);
       // What was cancelled must be gone soon, also where no stop arrives.
       const unreached = quiet > 1.5 * reportS || deaf;
       if (unreached && holdsCancelled(m)) this.askReturn(m, "holds a cancelled task");
@@ -935,6 +943,24 @@
     if (worst !== undefined) this.drain(worst, "slow");
   }
 
+  /**
+   * So many machines at the most in a report interval: what dies at once is few, and if it is us who
+   * are late, the next interval shows it. (Twice after a takeover a quarter of all machines, with all
+   * that ran there, went back within five seconds.)
+   */
+  private giveUp(m: Machine, why: string, machines: number, now: number): void {
+    if (m.state !== "up") return;
+    if (now - this.gaveUpAt > this.settings.reportS) {
+      this.gaveUpAt = now;
+      this.gaveUp = 0;
+    }
+    if (this.gaveUp >= Math.max(2, machines * GIVE_UP)) return;
+    this.gaveUp++;
+    this.askReturn(m, why);
+  }
+  private gaveUp = 0;
+  private gaveUpAt = Number.NEGATIVE_INFINITY;
+
   private look(m: Machine): void {
     m.busy = true;
     this.shows.add(m.name);
--- a/tests/at-size.test.ts
+++ b/tests/at-size.test.ts
@@ -80,6 +80,27 @@
   assert.ok(asked.size > 0 && asked.size <= 1500 / 50, `${asked.size} asked`);
 });
 
+test("after a takeover no more than a few machines are given up in a report interval", () => {
+  const old = crowd();
+  old.store();
+  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  const began = h.now;
+  const given = (): number =>
+    [...h.scheduler.cluster.machines.values()].filter((m) => m.state === "returning").length;
+  // Four of five find the new holder, the others are a long time about it.
+  for (let t = 0; t < 45; t++) {
+    h.now += 0.3;
+    if (t % 10 === 0) {
+      for (let i = 0; i < MACHINES; i++) if (i % 5 > 0) h.quietReport(name(i), []);
+    }
+    h.take(h.scheduler.tick(h.now, h.now * 1000));
+    h.pending.length = 0;
+    if (h.now - began < 3 * 2 + 7) assert.equal(given(), 0);
+  }
+  assert.ok(given() <= MACHINES / 20, `${given()} given up`);
+});
+
 test("what nothing is due to costs no message while time passes", () => {
   const h = crowd();
   h.store();
