--- a/src/controller.ts
+++ b/src/controller.ts
@@ -47,6 +47,9 @@
   /** Steady time before which no further pass is made for what comes in. */
   private tickAfter = Number.NEGATIVE_INFINITY;
   private tickEnded = 0;
+  /** How much later than asked timers come back lately, in seconds; and whether that is much. */
+  private behindS = 0;
+  private heldUp = false;
   private writing = false;
   private bumpWanted = false;
   private stopped = false;
@@ -407,8 +410,13 @@
     const every = this.settings.cluster.reportS / 20;
     while (!this.stopped) {
       if (this.follower.loaded) this.caretaker.contact(this.store.lastAnswer);
-      this.tick();
+      if (steady() >= this.tickAfter) this.tick();
+      const before = steady();
       await sleep(every);
+      // A pause that took far longer than asked for: more comes in than can be done.
+      this.behindS = 0.7 * this.behindS + 0.3 * (steady() - before - every);
+      this.heldUp = this.behindS > this.settings.cluster.reportS / 30;
+      if (this.scheduler !== null) this.scheduler.heldUp = this.heldUp;
     }
   }
 
@@ -434,7 +442,8 @@
       this.log.warn({ tookS: ended - began, sinceS: began - this.tickEnded, jobs }, "long pass");
     }
     this.tickEnded = ended;
-    this.tickAfter = ended + Math.max(this.settings.cluster.reportS / 100, 2 * (ended - began));
+    const rest = (this.heldUp ? 8 : 2) * (ended - began);
+    this.tickAfter = ended + Math.max(this.settings.cluster.reportS / 100, rest);
   }
 
   private tickOnce(): void {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -705,14 +705,15 @@
   // ---------------------------------------------------------------- time
 
   tick(now: number, wallMs: number): Output[] {
-    if (now - this.watchedAt >= this.settings.reportS / 25) {
+    if (now - this.watchedAt >= this.settings.reportS / 20) {
       this.watchMachines(now);
       this.checkDoubts(now);
     }
     this.findSlow(now);
     const sincePlan = now - this.plannedAt;
     const { reportS } = this.settings;
-    if (this.typesKnown && sincePlan > reportS / (this.needPlan ? PLANS : 3)) {
+    const plans = this.settling(now) ? PLANS / 8 : PLANS;
+    if (this.typesKnown && sincePlan > reportS / (this.needPlan ? plans : 3)) {
       this.replan(now, wallMs);
     }
     this.cloudWork(now);
@@ -755,6 +756,8 @@
     const care = careForGpus(this.cluster, gpuSpecs);
     const ctx = this.context(now, wallMs);
     this.waiting = plan(ctx, within, care, (job) => this.acceptStart(job));
+    // Nothing is stopped for what waits while most room is not in sight.
+    if (this.settling(now)) return;
     // Each look for room goes over all machines: what a pass does not come to, the next one does.
     const looks = { left: LOOKS_FOR_ROOM };
     for (const job of this.waiting) this.preempt(job, ctx, within, care, looks);
@@ -961,6 +964,24 @@
   private gaveUp = 0;
   private gaveUpAt = Number.NEGATIVE_INFINITY;
 
+  /**
+   * A new holder has not met most of its workers yet. Their reports come first: their leases run,
+   * and what is planned meanwhile sees a small part of the machines.
+   */
+  private settling(now: number): boolean {
+    if (this.settled || now - this.startedAt > this.settings.leaseS / 2) return false;
+    let up = 0;
+    let met = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (m.state !== "up") continue;
+      up++;
+      if (m.ours) met++;
+    }
+    this.settled = met >= 0.8 * up;
+    return !this.settled;
+  }
+  private settled = false;
+
   private look(m: Machine): void {
     m.busy = true;
     this.shows.add(m.name);
@@ -973,8 +994,10 @@
    * left no time for their reports, and most lost their leases.)
    */
   private get directs(): number {
-    return Math.max(8, this.settings.sockets / 50);
+    return this.heldUp ? 4 : Math.max(8, this.settings.sockets / 50);
   }
+  /** Set by the node while it is behind: what can wait is to leave it time. */
+  heldUp = false;
 
   /** Unanswered starts that matter (cancelled, or ended and not to be forgotten) need a new token. */
   private checkDoubts(now: number): void {
