--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -163,13 +163,12 @@
       }
     }
     for (const id of records.live.keys()) this.recordChanged(records, id, now);
-    // Those that run replicas are fenced at once. The others mostly come by themselves within a
-    // report interval, and a direct request costs as much again as their reports.
+    // They mostly come by themselves within a report interval, and a direct request costs more than
+    // a report: those that run replicas are fenced soon, the others when they are overdue.
     const up = [...this.cluster.machines.values()];
-    for (const m of up) if (serves(m)) this.due.add(m);
     for (const m of up) {
-      if (this.due.has(m)) continue;
-      m.directAfter = now + this.settings.reportS * (m.placements.size > 0 ? 0.5 : 1);
+      const intervals = serves(m) ? 0.25 : m.placements.size > 0 ? 1 : 1.5;
+      m.directAfter = now + this.settings.reportS * intervals;
       this.due.add(m);
     }
     return this.flush();
@@ -859,7 +858,7 @@
       // the end of a machine sooner, but costs as much as a report: so many a second, and those
       // that run replicas are worth it most.
       const overdue = quiet > 1.25 * reportS || m.deafSince !== null;
-      const early = quiet > (serves(m) ? 0.8 : 1) * reportS;
+      const early = m.ours && quiet > (serves(m) ? 0.8 : 1) * reportS;
       if (
         m.state === "up" &&
         (overdue || early) &&
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -207,9 +207,10 @@
   h.epoch = 2;
   assert.equal(h.trace(), "\n\n");
   h.tick();
-  // Workers mostly come by themselves: those with tasks but no replicas get half an interval.
+  // Workers mostly come by themselves: those with tasks but no replicas get an interval.
   assert.equal(h.trace(), "\n\n");
   h.tick(1.4);
+  h.tick(1.5);
   assert.equal(h.trace(), "\nsend m1a: fence\n");
   h.answer([task("j", 0, 1)]);
   // The start of k never arrived. Older tokens are dropped from now on, so it can be sent again.
