--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -321,3 +321,12 @@
   `s${r.session} [${r.tasks
     .map((t) => `${t.job}/${t.task}#${t.attempt} ${t.cause ?? t.state}`)
     .join(", ")}]`;
+
+/** A holder with two machines, one in each zone, fenced and recorded. */
+export function ready(): Holder {
+  const h = new Holder();
+  h.report("m1a", []);
+  h.report("m2b", []);
+  h.trace();
+  return h;
+}
--- a/tests/left-out.test.ts
+++ b/tests/left-out.test.ts
@@ -2,15 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Caretaker } from "../src/core/caretaker.js";
-import { Holder, spec, task } from "./helpers.js";
-
-function ready(): Holder {
-  const h = new Holder();
-  h.report("m1a", []);
-  h.report("m2b", []);
-  h.trace();
-  return h;
-}
+import { Holder, ready, spec, task } from "./helpers.js";
 
 test("a machine that reports but hears nothing takes no new work, and goes back to the cloud", () => {
   const h = ready();
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -1,16 +1,7 @@
 /** One trace for each rule of the protocol, with the failure that could break it. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Holder, spec, task } from "./helpers.js";
-
-/** A holder with two machines, one in each zone, fenced and recorded. */
-function ready(): Holder {
-  const h = new Holder();
-  h.report("m1a", []);
-  h.report("m2b", []);
-  h.trace();
-  return h;
-}
+import { Holder, ready, spec, task } from "./helpers.js";
 
 test("ran_twice: a start without an answer is repeated where it was, not elsewhere", () => {
   const h = ready();
