--- a/src/controller.ts
+++ b/src/controller.ts
@@ -47,8 +47,6 @@
   /** Steady time before which no further pass is made for what comes in. */
   private tickAfter = Number.NEGATIVE_INFINITY;
   private tickEnded = 0;
-  /** When a holder was last recorded, or the records were first read. */
-  private leadSeenAt = Number.NEGATIVE_INFINITY;
   /** How much later than asked timers come back lately, in seconds; and whether that is much. */
   private behindS = 0;
   private heldUp = false;
@@ -67,8 +65,7 @@
   ) {
     const c = settings.cluster;
     this.ttlS = Math.max(0.5, operator.termLeaseRatio * c.reportS);
-    // A copy may still show no holder for as long as a gap in contact is not noticed.
-    this.graceS = Math.max(operator.graceRatio * c.leaseS, 1.5 * this.contactGapS());
+    this.graceS = operator.graceRatio * c.leaseS;
     this.keepS = operator.keepRatio * c.leaseS;
     this.caretaker = new Caretaker(c.leaseS, this.contactGapS(), this.keepS);
     const answerMs = (c.reportS * 1000) / 3;
@@ -219,7 +216,7 @@
       }
       return { kind: "unavailable" };
     }
-    if (this.aloneWith(r, now) || this.between(r, now)) {
+    if (this.aloneWith(r, now)) {
       return { kind: "answer", token: this.records.epoch.value.n, commands: [] };
     }
     const holder = this.records.lead?.value.member ?? null;
@@ -238,24 +235,6 @@
     });
   }
 
-  /**
-   * Nobody holds the term. Workers that are turned away then come back every second, each over a new
-   * connection, and leave no node the time to take it (a thousand did, for 20 s). So for part of a
-   * lease any node in contact answers them without commands, with the last token; they find the
-   * next holder with their next report. That holder adds `graceS` before it counts a lease as over.
-   */
-  private between(r: Report, now: number): boolean {
-    const epoch = this.records.epoch.value.n;
-    return (
-      this.stateOk() &&
-      this.records.lead === null &&
-      epoch > 0 &&
-      r.token <= epoch &&
-      now - this.leadSeenAt < this.settings.cluster.leaseS / 3 &&
-      !r.tasks.some((t) => this.records.cancels.has(t.job))
-    );
-  }
-
   /** Cut off from everybody but the workers of this zone, which would lose what they run. */
   private aloneWith(r: Report, now: number): boolean {
     return (
@@ -300,7 +279,6 @@
         for (const id of ids) this.scheduler.recordChanged(this.records, id, now);
       }
     }
-    if (touched === null) this.leadSeenAt = now;
     if (this.types.length === 0 && this.records.types !== null) this.types = this.records.types;
     this.queueTick();
   }
@@ -432,7 +410,6 @@
     const every = this.settings.cluster.reportS / 20;
     while (!this.stopped) {
       if (this.follower.loaded) this.caretaker.contact(this.store.lastAnswer);
-      if (this.records.lead !== null) this.leadSeenAt = steady();
       if (steady() >= this.tickAfter) this.tick();
       const before = steady();
       await sleep(every);
