--- /dev/null
+++ b/src/core/dispatch.ts
@@ -0,0 +1,196 @@
+/** Starts, stops and looks: what goes to each worker, and when. */
+import { Bucket } from "./bucket.js";
+import type { EndedTask, LiveJob, Machine, Placement } from "./cluster.js";
+import type { Command } from "./model.js";
+import type { Office } from "./office.js";
+
+/** Looks a second, for each core, at machines whose report is not late yet. */
+const LOOKS = 40;
+
+export class Dispatch {
+  /** Machines that something may be due to; the others are not looked at as time passes. */
+  readonly due = new Set<Machine>();
+  /** Machines to which a request is out that only tells them the token. */
+  readonly fences = new Set<string>();
+  /** Machines that are being looked at. */
+  readonly shows = new Set<string>();
+  readonly looks: Bucket;
+  /** Tasks of jobs that are over, to be stopped outright. */
+  orphans: { machine: string; job: string; task: number; attempt: number }[] = [];
+  /** Set by the node while it is behind: what can wait is to leave it time. */
+  heldUp = false;
+
+  constructor(private readonly office: Office) {
+    const rate = LOOKS * office.settings.cpuShare;
+    this.looks = new Bucket(rate, rate);
+  }
+
+  stop(p: Placement, why: string, graceS: number): void {
+    if (p.stop !== null && p.stop.graceS <= graceS) return;
+    p.stop = { why, graceS, sentAt: Number.NEGATIVE_INFINITY };
+    this.due.add(p.machine);
+    this.office.log("stop", {
+      task: `${p.job.spec.id}/${p.task}`,
+      attempt: p.attempt,
+      machine: p.machine.name,
+      why,
+    });
+  }
+
+  /** A gang is stopped in order: all its tasks at once, with the time to save. */
+  stopWithMates(p: Placement, why: string, graceS: number): void {
+    const all = p.job.spec.kind === "gang" ? [...p.job.placements.values()] : [p];
+    for (const q of all) this.stop(q, why, graceS);
+  }
+
+  /** A gang that lost a task starts again as a whole once all its tasks are gone. */
+  regroup(job: LiveJob, why: string): void {
+    if (job.complete) return;
+    for (const p of job.placements.values()) this.stop(p, why, job.spec.saveS);
+  }
+
+  release(p: Placement, now: number): void {
+    this.office.cluster.release(p, now);
+    this.office.needPlan = true;
+  }
+
+  /** The attempt went with its machine or session. */
+  lost(p: Placement, why: string, now: number): void {
+    this.office.log("task lost", {
+      task: `${p.job.spec.id}/${p.task}`,
+      attempt: p.attempt,
+      machine: p.machine.name,
+      why,
+    });
+    this.release(p, now);
+    if (p.job.spec.kind === "gang") this.regroup(p.job, "a gang task was lost");
+  }
+
+  commandsFor(m: Machine, now: number, withStarts: boolean): Command[] {
+    const out: Command[] = [];
+    for (const p of [...m.placements.values()]) {
+      const at = { job: p.job.spec.id, task: p.task, attempt: p.attempt };
+      if (p.stop !== null) {
+        if (p.state === "planned" && p.inFlight === 0 && !m.doubts.has(p.key)) {
+          // Never sent under this token, and the worker does not know it: it is not there.
+          if (m.fenced && p.session === m.session) this.release(p, now);
+          continue;
+        }
+        if (p.state === "loaded" || p.state === "planned") continue;
+        // A second stop would cut a save short, unless that is meant.
+        if (p.state === "saving" && p.stop.graceS > 0) continue;
+        if (now - p.stop.sentAt < this.office.settings.reportS / 6) continue;
+        p.stop.sentAt = now;
+        out.push({ op: "stop", ...at, graceS: p.stop.graceS });
+      } else if (withStarts && this.mayStart(p, m, now)) {
+        p.state = "sent";
+        p.sentAt = now;
+        p.inFlight++;
+        out.push({ op: "start", ...at });
+      }
+    }
+    for (const o of this.orphans) {
+      if (o.machine === m.name) {
+        out.push({ op: "stop", job: o.job, task: o.task, attempt: o.attempt, graceS: 0 });
+      }
+    }
+    this.orphans = this.orphans.filter((o) => o.machine !== m.name);
+    for (const [key, e] of m.ended) if (this.mayForget(m, key, e)) out.push(forgetOf(e));
+    return out;
+  }
+
+  private mayStart(p: Placement, m: Machine, now: number): boolean {
+    if (p.job.cancelled || p.job.savedVersion < p.version) return false;
+    if (!m.fenced || p.session !== m.session) return false;
+    if (p.state === "planned") return true;
+    // Repeating a start whose fate is unknown does no harm: it is the same attempt.
+    return (
+      p.state === "sent" &&
+      p.inFlight === 0 &&
+      m.doubts.has(p.key) &&
+      now - p.sentAt > this.office.settings.reportS / 2
+    );
+  }
+
+  /**
+   * A forgotten attempt could be started again by a late copy of its start. So its end must be
+   * stored, and no start of it may be unanswered under the present token.
+   */
+  private mayForget(m: Machine, key: string, e: EndedTask): boolean {
+    if (m.doubts.has(key)) return false;
+    const job = this.office.cluster.jobs.get(e.job);
+    return job === undefined || job.savedVersion >= e.version;
+  }
+
+  /**
+   * Sends a machine what is due to it, one direct request at a time. Forgetting is never urgent and
+   * goes with the answer to a report, or with what is sent anyway.
+   */
+  pump(m: Machine, now: number): void {
+    this.due.delete(m);
+    if (m.busy || m.address === "" || m.state !== "up") return;
+    if (now < m.directAfter) {
+      this.due.add(m);
+      return;
+    }
+    if (!m.fenced) {
+      this.due.add(m);
+      if (this.fences.size >= this.directs) return;
+      this.fences.add(m.name);
+      m.busy = true;
+      this.office.out.push({
+        kind: "send",
+        machine: m.name,
+        address: m.address,
+        session: Math.max(m.session, 1),
+        commands: [],
+      });
+      return;
+    }
+    for (const p of m.placements.values()) {
+      if (p.stop === null && p.state !== "planned" && p.state !== "sent") continue;
+      this.due.add(m);
+      break;
+    }
+    if (!this.due.has(m) && this.orphans.length === 0) return;
+    const commands = this.commandsFor(m, now, true).slice(0, 400);
+    if (commands.every((c) => c.op === "forget")) return;
+    m.busy = true;
+    this.office.out.push({
+      kind: "send",
+      machine: m.name,
+      address: m.address,
+      session: m.session,
+      commands,
+    });
+  }
+
+  /** The second try follows soon, as two in a row tell more than one; then they are spaced. */
+  unanswered(m: Machine, now: number): void {
+    m.unanswered++;
+    m.deafSince ??= now;
+    m.directAfter = now + this.office.settings.reportS / (m.unanswered === 1 ? 30 : 3);
+  }
+
+  look(m: Machine): void {
+    m.busy = true;
+    this.shows.add(m.name);
+    this.office.out.push({ kind: "show", machine: m.name, address: m.address });
+  }
+
+  /**
+   * Requests of one sort that are out at a time, of those that only look or only tell the token.
+   * (After a takeover a thousand workers were late at once; looking at all of them in one moment
+   * left no time for their reports, and most lost their leases.)
+   */
+  get directs(): number {
+    return this.heldUp ? 4 : Math.max(8, this.office.settings.sockets / 50);
+  }
+}
+
+const forgetOf = (e: EndedTask): Command => ({
+  op: "forget",
+  job: e.job,
+  task: e.task,
+  attempt: e.attempt,
+});
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,218 @@
+/** The machines that the cloud gives: renting, listing and returning them. */
+import type { LiveJob, Machine } from "./cluster.js";
+import type { Dispatch } from "./dispatch.js";
+import { Groups } from "./groups.js";
+import type { JobSpec, ListedMachine } from "./model.js";
+import type { Office } from "./office.js";
+import {
+  machinesInZones,
+  offerKey,
+  type RentContext,
+  type Shape,
+  surplus,
+  wanted,
+} from "./renting.js";
+
+export class Fleet {
+  readonly groups: Groups;
+  /** Machines that are proven gone. */
+  readonly gone = new Set<string>();
+  readonly shapes = new Map<string, Shape>();
+  /** Jobs that wait for room, as of the last pass. */
+  waiting: LiveJob[] = [];
+  private readonly refused = new Map<string, number>();
+  private readonly listed = new Map<string, number>();
+  private readonly pendingReturns = new Map<string, string>();
+  private rentedAt = Number.NEGATIVE_INFINITY;
+  private listedAt = Number.NEGATIVE_INFINITY;
+  private cloudAfter = Number.NEGATIVE_INFINITY;
+  private listing = false;
+  private renting = 0;
+  private rentals = 0;
+  private returning = 0;
+  private lastJobAt: number;
+
+  constructor(
+    private readonly office: Office,
+    private readonly dispatch: Dispatch,
+  ) {
+    this.groups = new Groups(0.6 * office.settings.valueKb * 1024);
+    this.lastJobAt = office.startedAt;
+  }
+
+  noteShape(spec: JobSpec): void {
+    const s = this.shapes.get(spec.class);
+    if (s === undefined) this.shapes.set(spec.class, { spec, running: 0 });
+    else this.shapes.set(spec.class, { spec, running: s.running });
+  }
+
+  askReturn(m: Machine, why: string): void {
+    if (this.pendingReturns.has(m.name) || m.state === "gone") return;
+    this.pendingReturns.set(m.name, why);
+    m.drain ??= why;
+    m.state = "returning";
+    this.office.log("return machine", { machine: m.name, why, tasks: m.placements.size });
+  }
+
+  cloudWork(now: number): void {
+    if (now < this.cloudAfter) return;
+    if (this.pendingReturns.size > 0 && this.returning === 0) {
+      this.returning++;
+      this.office.out.push({
+        kind: "return",
+        machines: [...this.pendingReturns.keys()].slice(0, 100),
+      });
+    }
+    if (!this.listing && now - this.listedAt > Math.max(this.office.settings.listLagS, 2) / 1.5) {
+      this.listing = true;
+      this.listedAt = now;
+      this.office.out.push({ kind: "list" });
+    }
+    if (
+      this.renting === 0 &&
+      this.office.typesKnown &&
+      now - this.rentedAt > 2 / this.office.settings.cloudRps
+    ) {
+      this.rentedAt = now;
+      this.rent(now);
+    }
+  }
+
+  private rent(now: number): void {
+    // A holder that has just begun does not know all machines yet.
+    if (now - this.office.startedAt < 2 * this.office.settings.listLagS && this.listed.size === 0)
+      return;
+    // With no job at all for a while there is nothing to keep room for.
+    if (this.office.cluster.jobs.size > 0) this.lastJobAt = now;
+    const deserted = now - this.lastJobAt > this.office.settings.leaseS;
+    if (deserted) this.shapes.clear();
+    for (const s of this.shapes.values()) s.running = 0;
+    for (const m of this.office.cluster.machines.values()) {
+      for (const p of m.placements.values()) {
+        const s = this.shapes.get(p.job.spec.class);
+        if (s !== undefined) s.running++;
+      }
+    }
+    const ctx: RentContext = {
+      cluster: this.office.cluster,
+      settings: this.office.settings,
+      types: [...this.office.types.values()],
+      now,
+      refused: this.refused,
+      spare: this.office.options.spare,
+      maxMachines: this.office.options.maxMachines,
+      inZone: machinesInZones(this.office.cluster),
+    };
+    const r = wanted(ctx, this.waiting, this.shapes.values());
+    if (r !== null) {
+      this.renting++;
+      this.rentals++;
+      // Names are never used again: the epoch is this term's alone.
+      const name = `t${this.office.epoch}-${this.rentals}`;
+      this.office.log("rent", { ...r });
+      this.office.out.push({
+        kind: "rent",
+        name,
+        type: r.type,
+        zone: r.zone,
+        spot: r.spot,
+        count: r.count,
+      });
+      return;
+    }
+    const idleS = deserted
+      ? Math.min(this.office.settings.leaseS, this.office.options.idleReturnS)
+      : this.office.options.idleReturnS;
+    for (const m of surplus(ctx, [...this.shapes.values()], idleS)) {
+      this.askReturn(m, "idle");
+    }
+  }
+
+  rented(
+    request: { type: string; zone: string; spot: boolean; count: number },
+    result: { machines: readonly string[] } | "no capacity" | "trouble",
+    now: number,
+  ): void {
+    this.renting--;
+    const key = offerKey(request.type, request.zone, request.spot);
+    if (result === "trouble") this.cloudAfter = now + 1;
+    else if (result === "no capacity") this.refused.set(key, now + this.office.settings.leaseS / 2);
+    else {
+      for (const name of result.machines) {
+        this.office.machine(name, request.type, request.zone, request.spot, now);
+      }
+      if (result.machines.length < request.count) {
+        this.refused.set(key, now + this.office.settings.leaseS / 2);
+      }
+    }
+  }
+
+  returned(machines: readonly string[], ok: boolean, now: number): void {
+    this.returning--;
+    if (!ok) {
+      this.cloudAfter = now + 0.5;
+      return;
+    }
+    for (const name of machines) {
+      this.pendingReturns.delete(name);
+      this.machineGone(name, "returned", now);
+    }
+  }
+
+  /** The machine and everything on it are gone for certain. */
+  private machineGone(name: string, why: string, now: number): void {
+    this.gone.add(name);
+    const m = this.office.cluster.machines.get(name);
+    if (m === undefined) return;
+    m.state = "gone";
+    for (const p of [...m.placements.values()]) this.dispatch.lost(p, why, now);
+    this.office.cluster.machines.delete(name);
+    this.dispatch.due.delete(m);
+    this.groups.remove(name, m.stored);
+    this.office.needPlan = true;
+  }
+
+  list(machines: readonly ListedMachine[] | null, now: number): void {
+    this.listing = false;
+    if (machines === null) {
+      this.cloudAfter = Math.max(this.cloudAfter, now + 0.5);
+      return;
+    }
+    // The list may be older than one seen before; how old a machine is in it tells.
+    const names = new Set<string>();
+    let newer = true;
+    for (const l of machines) {
+      names.add(l.name);
+      const before = this.listed.get(l.name);
+      if (before !== undefined && l.ageS < before) newer = false;
+    }
+    for (const l of machines) {
+      if (this.gone.has(l.name)) continue;
+      const m = this.office.machine(l.name, l.type, l.zone, l.spot, now);
+      if (m === null) continue;
+      if (newer) this.listed.set(l.name, l.ageS);
+      if (m.address === "" && l.address !== "") m.address = l.address;
+      if (m.state === "booting") m.bootingSince = Math.min(m.bootingSince, now - l.ageS);
+      if (l.state === "failed") this.askReturn(m, "failed");
+      else if (
+        l.state === "running" &&
+        m.state === "booting" &&
+        m.address !== "" &&
+        !m.busy &&
+        now >= m.directAfter &&
+        this.dispatch.looks.take(1, now)
+      ) {
+        this.dispatch.look(m);
+      }
+    }
+    if (newer) {
+      for (const name of [...this.listed.keys()]) {
+        if (names.has(name)) continue;
+        // Once listed, a machine stays listed until it is gone. The return makes it certain.
+        this.listed.delete(name);
+        const m = this.office.cluster.machines.get(name);
+        if (m !== undefined) this.askReturn(m, "no longer listed");
+      }
+    }
+  }
+}
