Faulty machines and broken jobs told apart by how both fare elsewhere

Cause: a machine went back once two different jobs had failed on it. Now a job that fails on three machines and fares well on none is suspect: tried one task at a time, 3 s to 60 s apart, behind all others, with nothing stopped, held or rented for it. A machine goes back when two jobs that fare well elsewhere failed on it. Ruled out: counting what ended well on the machine (a sound machine with many tiny broken jobs would go).

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -100,8 +100,8 @@
   readonly doubts = new Map<string, number>();
   /** Images it holds or fetches, with the time of last use and size. */
   readonly images = new Map<string, { at: number; gb: number; ready: boolean }>();
-  /** Jobs that failed here lately. */
-  readonly failedJobs = new Set<string>();
+  /** Jobs of which a task failed here, and when, until it is known who was at fault. */
+  readonly failures = new Map<LiveJob, number>();
   /** Tasks that took far longer here than others of their job. */
   readonly slowTasks = new Set<string>();
   /** Not used for new work; it is returned once empty. */
@@ -165,11 +165,16 @@
   cancelled = false;
   started = false;
   backoffUntil = Number.NEGATIVE_INFINITY;
-  errors = 0;
-  readonly errorMachines = new Set<string>();
+  /** Machines on which a task of it failed, and until when it keeps off them. */
+  private readonly avoided = new Map<string, number>();
+  /** Machines on which a task of it ever failed; a few are enough to know. */
+  readonly failedOn = new Set<string>();
+  /** The longest that a task of it ran before it failed, in seconds. */
+  failedAfterS = 0;
+  /** It fails wherever it goes, as far as is known: since when, and tries that have failed since. */
+  suspect: { readonly since: number; tries: number } | null = null;
   /** Run times of tasks that completed, in seconds. */
   readonly runTimes: number[] = [];
-  anyDone = false;
   /** How strongly it holds its place, the strongest first, as of the last pass. */
   hold = 0;
   /** No search for tasks to stop before then: the last one found none. */
@@ -211,6 +216,24 @@
     this.residualsText = written(next);
   }
 
+  avoid(machine: string, until: number): void {
+    this.avoided.set(machine, until);
+  }
+  /** A task of it failed there a while ago. */
+  avoids(machine: string, now: number): boolean {
+    const until = this.avoided.get(machine);
+    if (until === undefined) return false;
+    if (now < until) return true;
+    this.avoided.delete(machine);
+    return false;
+  }
+  /** A try of it is under way, to see whether it still fails. */
+  get onTrial(): boolean {
+    if (this.suspect === null) return false;
+    for (const p of this.placements.values()) if (p.placedAt > this.suspect.since) return true;
+    return false;
+  }
+
   get dirty(): boolean {
     return this.version > this.savedVersion;
   }
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -154,7 +154,7 @@
   for (const j of cluster.jobs.values()) {
     if (j.spec.gpus <= 0) continue;
     images.add(j.spec.image);
-    if (!j.cancelled && !j.complete) waiting += j.pendingCount;
+    if (!j.cancelled && !j.complete && j.suspect === null) waiting += j.pendingCount;
   }
   const free: { m: Machine; held: number }[] = [];
   for (const m of cluster.machines.values()) {
@@ -227,7 +227,7 @@
     if (fits === 0 || !openTo(m, job)) continue;
     if (zone !== null && m.zone !== zone) continue;
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
-    if (job.errorMachines.has(m.name)) continue;
+    if (job.avoids(m.name, ctx.now)) continue;
     // A replica stays for long. It takes a GPU away only when there was time to make room elsewhere.
     if (
       fits > 0 &&
@@ -379,13 +379,19 @@
   const before = job.heldZone;
   job.heldZone = null;
   if (taken.has("") || taken.size >= ctx.settings.zones.length) return;
-  if (spec.tasks < 2 || job.present > 0 || ctx.cluster.quotaSlots(spec) < spec.tasks) return;
+  if (
+    spec.tasks < 2 ||
+    job.suspect !== null ||
+    job.present > 0 ||
+    ctx.cluster.quotaSlots(spec) < spec.tasks
+  )
+    return;
   const zones = new Map<string, { free: number; all: number; held: number }>();
   const fitting: Machine[] = [];
   for (const m of fitted(spec, ctx)) {
     if (!openTo(m, job)) continue;
     const whole = slots(spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
-    if (!typeAllowed(spec, m.type.name, m.zone, m.spot) || job.errorMachines.has(m.name)) continue;
+    if (!typeAllowed(spec, m.type.name, m.zone, m.spot) || job.avoids(m.name, ctx.now)) continue;
     const zone = spec.oneZone ? m.zone : "";
     if (taken.has(zone)) continue;
     const z = zones.get(zone) ?? { free: 0, all: 0, held: 0 };
@@ -424,8 +430,7 @@
 
 function placeTasks(job: LiveJob, ctx: PlanContext, care: GpuCare): void {
   const quota = ctx.cluster.quotaSlots(job.spec);
-  if (quota <= 0) return;
-  if (job.pendingCount === 0) return;
+  if (quota <= 0 || job.pendingCount === 0 || job.onTrial) return;
   const on = candidates(job, ctx, care);
   if (on.length === 0) return;
   // A pipeline is one value of bounded length: no more is placed than it can hold.
@@ -441,7 +446,8 @@
     machines++;
     if (n >= quota) break;
   }
-  const tasks = take(job.pending(), Math.min(quota, n));
+  // One task shows as well as all of them whether the job still fails.
+  const tasks = take(job.pending(), Math.min(quota, n, job.suspect === null ? n : 1));
   if (tasks.length > 0) place(job, tasks, on.slice(0, machines), ctx);
 }
 
@@ -510,7 +516,7 @@
     if (m.reservedFor !== null || room(m.zone) <= 0) continue;
     if (zone !== null && m.zone !== zone) continue;
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
-    if (job.errorMachines.has(m.name)) continue;
+    if (job.avoids(m.name, ctx.now)) continue;
     let cpus = m.freeCpus;
     let gpus = m.freeGpus;
     let memory = m.freeMemory;
@@ -586,6 +592,8 @@
     j.inTime = j.spec.kind !== "gang" || kept;
   }
   const line = (j: LiveJob): number => {
+    // What fails wherever it goes never goes before what has not failed.
+    if (j.suspect !== null) return SUSPECT_LINE;
     if (starving.has(j)) return Math.min(1, j.hold);
     // Gangs within a guarantee go first while that can still be kept. (In a burst those that were
     // late already went on before all others, in order of arrival, and everybody was late.)
@@ -604,8 +612,11 @@
   });
 }
 
+/** Behind every other place in line. */
+const SUSPECT_LINE = 40;
+
 /** The users' bound: every job, the largest too, is to begin within four minutes. */
-const BEGIN_S = 240;
+export const BEGIN_S = 240;
 
 /** Part of the users' bound that a job has waited. */
 const patience = (j: LiveJob, ctx: PlanContext): number =>
@@ -620,7 +631,8 @@
 function neglected(waiting: readonly LiveJob[], ctx: PlanContext): Set<LiveJob> {
   const worst = new Map<string, LiveJob[]>();
   for (const j of waiting) {
-    if (j.done.size > 0 || j.present > 0 || patience(j, ctx) < 0.5) continue;
+    if (j.suspect !== null || j.done.size > 0 || j.present > 0) continue;
+    if (patience(j, ctx) < 0.5) continue;
     if (ctx.now < (ctx.cluster.othersFirst.get(j.spec.class) ?? 0)) continue;
     const of = worst.get(j.spec.class);
     if (of === undefined) worst.set(j.spec.class, [j]);
@@ -734,7 +746,8 @@
     if (job.present > before) owedToOthers(job, ctx);
     if (job.pendingCount > 0) {
       job.waitingSince ??= ctx.now;
-      left.push(job);
+      // Nothing is stopped, held or rented for a job that fails wherever it goes.
+      if (job.suspect === null) left.push(job);
     } else job.waitingSince = null;
   }
   return left;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -411,7 +411,6 @@
 
   private taskDone(job: LiveJob, task: number): void {
     if (job.spec.kind === "service" || task >= job.spec.tasks) return;
-    job.anyDone = true;
     // The tasks of a gang complete together: if one is done, all are.
     const tasks = job.spec.kind === "gang" ? range(job.spec.tasks) : [task];
     for (const t of tasks) {
@@ -453,6 +452,7 @@
       this.checkDoubts(now);
     }
     this.faults.findSlow(now);
+    this.faults.review(now);
     const sincePlan = now - this.plannedAt;
     const { reportS } = this.office.settings;
     const plans = this.watch.settling(now) ? PLANS / 8 : PLANS;
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -1,6 +1,6 @@
 /** What several tests share: bodies, settings, and a holder whose trace can be read. */
 
-import type { JobSpec, MachineType, Report, TaskReport } from "../src/core/model.js";
+import type { Command, JobSpec, MachineType, Report, TaskReport } from "../src/core/model.js";
 import { ownDependencies, written } from "../src/core/pipeline.js";
 import { KEY, placedIn, Records, type StoredPlacements } from "../src/core/records.js";
 import { type Output, Scheduler } from "../src/core/scheduler.js";
@@ -128,6 +128,8 @@
   private revision: number;
   /** Direct commands without an answer yet. */
   readonly pending: Extract<Output, { kind: "send" }>[] = [];
+  /** Machines that are looked at, without an answer yet. */
+  readonly looked: string[] = [];
   storing = true;
   /** Machines that answer nothing any more. */
   readonly dead = new Set<string>();
@@ -306,6 +308,7 @@
       } else if (o.kind === "return") this.lines.push(`cloud return ${o.machines.join(" ")}`);
       else if (o.kind === "show" && this.dead.has(o.machine))
         this.take(this.scheduler.shown(o.machine, null, this.now));
+      else if (o.kind === "show") this.looked.push(o.machine);
       else if (o.kind === "bump") this.lines.push("raise the token");
       else if (o.kind === "resign") this.lines.push(`resign: ${o.why}`);
     }
@@ -330,3 +333,111 @@
   h.trace();
   return h;
 }
+
+/** What becomes of a task: it fails at once, or is done after so many seconds. */
+export type Fate = (job: string, machine: string) => "error" | number;
+
+/** Workers that do as they are told, report each interval, and run tasks as a fate has it. */
+export class Workers {
+  readonly returned: string[] = [];
+  /** Tasks that were started and have not ended, on all machines. */
+  readonly running = new Set<string>();
+  readonly starts: { readonly job: string; readonly machine: string; readonly at: number }[] = [];
+  /** Most tasks that were on machines at one time. */
+  peak = 0;
+  /** Tasks that were started while they were on another machine. */
+  readonly twice: string[] = [];
+  private readonly on = new Map<string, Map<string, { task: TaskReport; endsAt: number }>>();
+  private readonly reportedAt = new Map<string, number>();
+
+  constructor(
+    public holder: Holder,
+    private readonly types: ReadonlyMap<string, string>,
+    private readonly fate: Fate,
+  ) {
+    for (const name of types.keys()) this.on.set(name, new Map());
+  }
+
+  /** Time passes in steps of a quarter of a second. */
+  run(seconds: number, each: () => void = () => {}): void {
+    for (let t = 0; t < seconds; t += 0.25) {
+      const h = this.holder;
+      for (const o of h.pending.splice(0)) {
+        const known = this.on.has(o.machine);
+        if (known) for (const c of o.commands) this.execute(o.machine, c);
+        const outcome = known
+          ? { kind: "answer" as const, executed: true, report: this.report(o.machine) }
+          : { kind: "lost" as const, sent: false };
+        h.take(h.scheduler.sent(o.machine, o.commands, outcome, h.now));
+      }
+      for (const name of h.looked.splice(0)) {
+        const r = this.on.has(name) ? this.report(name) : null;
+        h.take(h.scheduler.shown(name, r, h.now));
+      }
+      for (const name of this.on.keys()) this.turn(name);
+      this.peak = Math.max(this.peak, this.running.size);
+      each();
+      h.tick(0.25);
+      this.takeReturns();
+    }
+  }
+
+  private takeReturns(): void {
+    const h = this.holder;
+    for (const line of h.lines.splice(0)) {
+      if (!line.startsWith("cloud return ")) continue;
+      const names = line.slice("cloud return ".length).split(" ");
+      for (const n of names) {
+        for (const t of this.on.get(n)?.values() ?? []) this.running.delete(idOf(t.task));
+        this.on.delete(n);
+      }
+      this.returned.push(...names);
+      h.take(h.scheduler.returned(names, true, h.now));
+    }
+  }
+
+  private turn(name: string): void {
+    const h = this.holder;
+    let changed = false;
+    for (const t of this.on.get(name)!.values()) {
+      if (t.task.state === "exited" || h.now < t.endsAt) continue;
+      this.end(t, "done");
+      changed = true;
+    }
+    if (!changed && h.now - (this.reportedAt.get(name) ?? 0) < 3) return;
+    this.reportedAt.set(name, h.now);
+    const { commands, outputs } = h.scheduler.report(this.report(name), h.now);
+    for (const c of commands) this.execute(name, c);
+    h.take(outputs);
+  }
+
+  private end(t: { task: TaskReport }, cause: TaskReport["cause"]): void {
+    t.task = { ...t.task, state: "exited", cause };
+    this.running.delete(idOf(t.task));
+  }
+
+  private execute(name: string, c: Command): void {
+    const tasks = this.on.get(name)!;
+    const key = `${c.job}/${c.task}#${c.attempt}`;
+    const known = tasks.get(key);
+    if (c.op === "start" && known === undefined) {
+      const fate = this.fate(c.job, name);
+      const t = { task: task(c.job, c.task, c.attempt), endsAt: 0 };
+      tasks.set(key, t);
+      if (this.running.has(idOf(t.task))) this.twice.push(key);
+      this.running.add(idOf(t.task));
+      this.starts.push({ job: c.job, machine: name, at: this.holder.now });
+      if (fate === "error") this.end(t, "error");
+      else t.endsAt = this.holder.now + fate;
+    } else if (c.op === "stop" && known !== undefined && known.task.state !== "exited") {
+      this.end(known, "stopped");
+    } else if (c.op === "forget") tasks.delete(key);
+  }
+
+  private report(name: string): Report {
+    const tasks = [...this.on.get(name)!.values()].map((t) => t.task);
+    return this.holder.makeReport(name, tasks, { type: this.types.get(name)! });
+  }
+}
+
+const idOf = (t: TaskReport): string => `${t.job}/${t.task}`;
