Large jobs stand in parts: any number of their tasks may run at a time

Now one value a job and one for each part of its tasks under way, each conditional on the mark of the job's own value.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,9 +1,10 @@
 /** The term holder's view of machines, jobs and what may be where. Bookkeeping only. */
 import type { Expression } from "../algebra/expression.js";
 import type { JobSpec, MachineType, Team } from "./model.js";
+import { Part } from "./parts.js";
 import { residuals, written } from "./pipeline.js";
 import { Ranges } from "./ranges.js";
-import type { StoredJob, StoredPlacements } from "./records.js";
+import type { Marked, StoredJob, StoredPart, StoredPlacements } from "./records.js";
 
 /**
  * Where a placement stands. `loaded`: read from the state after a takeover, nothing known of it.
@@ -154,9 +155,14 @@
   private residualsText: readonly string[];
   private parsed: Expression[] | null = null;
   version: number;
-  savedVersion: number;
-  mark: number;
-  nextAttempt: number;
+  /** Its own value, and the parts of a large one of which any task was placed. */
+  readonly main: Part;
+  readonly parts = new Map<number, Part>();
+  readonly unsaved = new Set<Part>();
+  /** Tasks in a part; null: it stands in one value. */
+  readonly partSize: number | null;
+  /** Parts that are over. */
+  private readonly closed = new Set<number>();
   owner: number;
   readonly done: Ranges;
   readonly placements = new Map<number, Placement>();
@@ -189,22 +195,104 @@
   heldZone: string | null = null;
   /** Time at which tasks of it first waited for room. */
   waitingSince: number | null = null;
-  /** The newest version that holds a placement: until it is stored, starts wait for it. */
-  placedVersion = 0;
   /** Tasks that wait for a place, until something changes. */
   private pendingKnown: number | null = null;
 
-  constructor(stored: StoredJob, mark: number) {
+  /** `inParts`: tasks in a part, if it was never placed and is to stand in parts. */
+  constructor(
+    stored: StoredJob,
+    mark: number,
+    parts: ReadonlyMap<number, Marked<StoredPart>>,
+    inParts: number | null,
+  ) {
     this.spec = stored.j;
     this.submittedAt = stored.at;
     this.residualsText = stored.r;
     this.version = stored.v;
-    this.savedVersion = stored.v;
-    this.mark = mark;
-    this.nextAttempt = stored.n;
+    this.main = new Part(-1, 0, stored.j.tasks);
+    this.main.saved = stored.v;
+    this.main.mark = mark;
+    this.main.attempt = stored.n;
     this.owner = stored.o;
     this.done = Ranges.parse(stored.done);
     this.started = stored.o > 0;
+    this.partSize = stored.c ?? (stored.o === 0 ? inParts : null);
+    if (this.partSize === null) return;
+    const size = this.partSize;
+    for (const n of range(Math.ceil(this.spec.tasks / size))) {
+      if (this.done.has(n * size) && !parts.has(n)) this.closed.add(n);
+    }
+    for (const [n, { value, mark: partMark }] of parts) {
+      const part = this.part(n);
+      part.mark = partMark;
+      part.saved = value.v;
+      // What its tasks were tried with is not all known any more.
+      part.attempt = value.n + 1;
+      this.version = Math.max(this.version, value.v);
+      for (const t of Ranges.parse(value.done)) this.done.add(part.from + t);
+    }
+  }
+
+  /** The part that a task stands in. */
+  partOf(task: number): Part {
+    if (this.partSize === null || task >= this.spec.tasks) return this.main;
+    return this.part(Math.floor(task / this.partSize));
+  }
+  private part(n: number): Part {
+    let part = this.parts.get(n);
+    if (part === undefined) {
+      const size = this.partSize!;
+      part = new Part(n, n * size, Math.min(this.spec.tasks, (n + 1) * size));
+      this.parts.set(n, part);
+    }
+    return part;
+  }
+
+  /** Attempt number for a task that is placed now; those of one pass have `of` in common. */
+  attemptFor(task: number, of: number): number {
+    return this.partSize === null || this.spec.kind === "gang" ? of : this.partOf(task).next(task);
+  }
+
+  /** Is everything about a task that was true at this version stored? */
+  holds(task: number, version: number): boolean {
+    return this.partOf(task).holds(version);
+  }
+  /** Placements are not stored yet: starts wait. */
+  get startsWait(): boolean {
+    for (const part of this.unsaved) if (part.startsWait) return true;
+    return false;
+  }
+  /** Nothing of the part is under way, nor will be. */
+  isOver(part: Part): boolean {
+    if (this.partSize === null || part === this.main) return false;
+    for (let t = part.from; t < part.to; t++) {
+      if (this.placements.has(t) || !(this.cancelled || this.done.has(t))) return false;
+    }
+    return true;
+  }
+  /** Its key goes with the next write of the job's own value. */
+  close(part: Part): void {
+    if (!this.cancelled) this.closed.add(part.n);
+    if (!this.main.unsaved) this.touch();
+  }
+  /** As of this version the part is stored, or gone. */
+  stored(part: Part, version: number, mark: number): void {
+    part.mark = Math.max(part.mark, mark);
+    part.saved = Math.max(part.saved, version);
+    if (!part.unsaved) this.unsaved.delete(part);
+  }
+  dropped(part: Part): void {
+    this.unsaved.delete(part);
+    this.parts.delete(part.n);
+  }
+  /** The records were read again after a write whose end was not known. */
+  reread(live: Marked<StoredJob>, parts: ReadonlyMap<number, Marked<StoredPart>>): void {
+    this.stored(this.main, live.value.v, live.mark);
+    for (const part of this.parts.values()) {
+      const now = parts.get(part.n);
+      if (now === undefined) part.mark = 0;
+      else this.stored(part, now.value.v, now.mark);
+    }
   }
 
   get dependencies(): readonly Expression[] {
@@ -235,7 +323,7 @@
   }
 
   get dirty(): boolean {
-    return this.version > this.savedVersion;
+    return this.unsaved.size > 0;
   }
   get complete(): boolean {
     return this.spec.kind !== "service" && this.done.size >= this.spec.tasks;
@@ -243,8 +331,11 @@
   get present(): number {
     return this.placements.size + this.strays.size;
   }
-  touch(): void {
-    this.version++;
+  /** Something to be stored changed: of a task, or of the job as a whole. */
+  touch(task: number | null = null): void {
+    const part = task === null ? this.main : this.partOf(task);
+    part.changed = ++this.version;
+    this.unsaved.add(part);
     this.pendingKnown = null;
   }
   /** Its placements changed, whether or not that must be stored. */
@@ -300,36 +391,78 @@
   private fixedBytes: number | null = null;
 
   toStored(): StoredJob {
-    const starts = new Map<string, { at: [number, number]; on: Map<string, number[]> }>();
-    for (const p of this.placements.values()) {
-      const key = `${p.attempt} ${p.session}`;
-      let s = starts.get(key);
-      if (s === undefined) {
-        s = { at: [p.attempt, p.session], on: new Map() };
-        starts.set(key, s);
-      }
-      const tasks = s.on.get(p.machine.name);
-      if (tasks === undefined) s.on.set(p.machine.name, [p.task]);
-      else tasks.push(p.task);
-    }
-    const pl: StoredPlacements[] = [];
-    for (const s of starts.values()) {
-      const on = [...s.on].flatMap(([name, tasks]) => [name, Ranges.of(tasks).toString()]);
-      pl.push([...s.at, on]);
-    }
-    return {
+    const own = this.partSize === null;
+    const value: StoredJob = {
       j: this.spec,
       at: this.submittedAt,
       r: this.residualsText,
       v: this.version,
-      n: this.nextAttempt,
+      n: this.main.attempt,
       o: this.owner,
-      done: this.done.toString(),
-      pl,
+      done: own ? this.done.toString() : this.closedTasks(),
+      pl: own ? storedPlacements(this.placements.values(), 0) : [],
+    };
+    return this.partSize === null ? value : { ...value, c: this.partSize };
+  }
+
+  private closedTasks(): string {
+    const size = this.partSize!;
+    const out: string[] = [];
+    let from = -1;
+    const last = Math.ceil(this.spec.tasks / size);
+    for (const n of range(last + 1)) {
+      const over = n < last && this.closed.has(n);
+      if (over && from < 0) from = n;
+      if (over || from < 0) continue;
+      out.push(`${from * size}-${Math.min(this.spec.tasks, n * size) - 1}`);
+      from = -1;
+    }
+    return out.join(",");
+  }
+
+  toStoredPart(part: Part): StoredPart {
+    const done: number[] = [];
+    const placed: Placement[] = [];
+    for (let t = part.from; t < part.to; t++) {
+      if (this.done.has(t)) done.push(t - part.from);
+      const p = this.placements.get(t);
+      if (p !== undefined) placed.push(p);
+    }
+    return {
+      v: this.version,
+      n: part.attempt,
+      done: Ranges.of(done).toString(),
+      pl: storedPlacements(placed, part.from),
     };
   }
 }
 
+/** Attempt and session stand once for all machines; tasks by their number less the first. */
+function storedPlacements(placements: Iterable<Placement>, first: number): StoredPlacements[] {
+  const starts = new Map<string, { at: [number, number]; on: Map<string, number[]> }>();
+  for (const p of placements) {
+    const key = `${p.attempt} ${p.session}`;
+    let s = starts.get(key);
+    if (s === undefined) {
+      s = { at: [p.attempt, p.session], on: new Map() };
+      starts.set(key, s);
+    }
+    const tasks = s.on.get(p.machine.name);
+    if (tasks === undefined) s.on.set(p.machine.name, [p.task - first]);
+    else tasks.push(p.task - first);
+  }
+  const pl: StoredPlacements[] = [];
+  for (const s of starts.values()) {
+    const on = [...s.on].flatMap(([name, tasks]) => [name, Ranges.of(tasks).toString()]);
+    pl.push([...s.at, on]);
+  }
+  return pl;
+}
+
+function* range(n: number): Generator<number> {
+  for (let i = 0; i < n; i++) yield i;
+}
+
 export interface Usage {
   cpus: number;
   gpus: number;
@@ -373,7 +506,8 @@
   add(p: Placement, stray = false): void {
     if (stray) p.job.strays.add(p);
     else p.job.placements.set(p.task, p);
-    if (p.version > p.job.placedVersion) p.job.placedVersion = p.version;
+    const part = p.job.partOf(p.task);
+    if (p.version > part.placed) part.placed = p.version;
     p.job.moved();
     p.machine.placements.set(p.key, p);
     const { cpus, gpus, memoryGb } = p.job.spec;
@@ -398,7 +532,7 @@
     const u = this.usageOf(p.job.spec.team);
     u.cpus -= cpus;
     u.gpus -= gpus;
-    p.job.touch();
+    p.job.touch(p.task);
   }
 
   /**
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -100,7 +100,7 @@
   }
 
   private mayStart(p: Placement, m: Machine, now: number): boolean {
-    if (p.job.cancelled || p.job.savedVersion < p.version) return false;
+    if (p.job.cancelled || !p.job.holds(p.task, p.version)) return false;
     if (!m.fenced || p.session !== m.session) return false;
     if (p.state === "planned") return true;
     // Repeating a start whose fate is unknown does no harm: it is the same attempt.
@@ -119,7 +119,7 @@
   private mayForget(m: Machine, key: string, e: EndedTask): boolean {
     if (m.doubts.has(key)) return false;
     const job = this.office.cluster.jobs.get(e.job);
-    return job === undefined || job.savedVersion >= e.version;
+    return job === undefined || job.holds(e.task, e.version);
   }
 
   /**
--- /dev/null
+++ b/src/core/parts.ts
@@ -0,0 +1,60 @@
+/**
+ * A job of very many tasks stands in the state as several values: one for the job, and one for each
+ * stretch of its tasks of which some are under way. A stretch that is over is a range in the job's own
+ * value, and its key goes in the same transaction.
+ *
+ * Each value is written by itself. So that no late copy of a write can bring a stretch back, all are
+ * conditional on the mark of the job's own value, which changes whenever one goes.
+ */
+
+/** Most bytes of one task that is under way: its machine, its number, what separates them. */
+const TASK_BYTES = 24;
+/** Of a value, what tasks may take; the rest is for attempts and sessions. */
+const FILLED = 0.9;
+
+/** Tasks in a part: however they end, they fit one value. */
+export const partSize = (valueBytes: number): number =>
+  Math.max(1, Math.floor((FILLED * valueBytes) / TASK_BYTES));
+
+/** Smaller jobs stand in one value: that is one write for each change instead of several. */
+const PARTS_AT_LEAST = 4;
+export const standsInParts = (tasks: number, valueBytes: number): boolean =>
+  tasks > PARTS_AT_LEAST * partSize(valueBytes);
+
+export class Part {
+  /** Versions of the job at which it last changed, was given a placement, and was stored. */
+  changed = 0;
+  placed = 0;
+  saved = 0;
+  /** Mark of its stored value; 0: there is none. */
+  mark = 0;
+  /** Number of the next attempt; in a part of a large job, of the newest. */
+  attempt = 1;
+  private readonly tried = new Map<number, number>();
+
+  constructor(
+    /** -1: the job's own value. */
+    readonly n: number,
+    readonly from: number,
+    readonly to: number,
+  ) {}
+
+  /** A new number only for a task that was tried before, so that few are stored. */
+  next(task: number): number {
+    if ((this.tried.get(task) ?? 0) >= this.attempt) this.attempt++;
+    this.tried.set(task, this.attempt);
+    return this.attempt;
+  }
+
+  get unsaved(): boolean {
+    return this.changed > this.saved;
+  }
+  /** A placement in it is not stored yet: its start waits. */
+  get startsWait(): boolean {
+    return this.placed > this.saved;
+  }
+  /** All that was true of it at this version is stored. */
+  holds(version: number): boolean {
+    return this.saved >= version || !this.unsaved;
+  }
+}
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -5,6 +5,7 @@
  */
 import { type Cluster, type LiveJob, type Machine, Placement, slots } from "./cluster.js";
 import type { ClusterSettings, JobSpec, Priority } from "./model.js";
+import type { Part } from "./parts.js";
 
 const EPSILON = 1e-6;
 const RANK: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
@@ -251,26 +252,30 @@
 
 function place(job: LiveJob, tasks: number[], on: Candidate[], ctx: PlanContext): number {
   const room = spreadRoom(job);
-  const attempt = job.nextAttempt;
+  const before = job.version;
+  const together = job.main.attempt;
+  /** Versions of the job that hold these placements, by the part they stand in. */
+  const versions = new Map<Part, number>();
   let next = 0;
-  let version = 0;
   for (const c of on) {
     let n = Math.min(c.fits, tasks.length - next);
-    for (; n > 0 && room(c.machine.zone) > placedIn(job, c.machine.zone, attempt); n--) {
-      if (next === 0) {
-        job.nextAttempt++;
+    for (; n > 0 && room(c.machine.zone) > placedIn(job, c.machine.zone, before); n--) {
+      const task = tasks[next]!;
+      const part = job.partOf(task);
+      if (next === 0 && (part === job.main || job.spec.kind === "gang")) {
+        job.main.attempt++;
         job.touch();
-        version = job.version;
+        versions.set(job.main, job.version);
       }
-      const p = new Placement(
-        job,
-        tasks[next++]!,
-        attempt,
-        c.machine,
-        c.machine.session,
-        version,
-        ctx.now,
-      );
+      if (!versions.has(part)) {
+        job.touch(task);
+        versions.set(part, job.version);
+      }
+      const attempt = job.attemptFor(task, together);
+      const version = versions.get(part)!;
+      const { session } = c.machine;
+      const p = new Placement(job, task, attempt, c.machine, session, version, ctx.now);
+      next++;
       ctx.cluster.add(p);
       if (!c.machine.images.has(job.spec.image)) {
         c.machine.images.set(job.spec.image, { at: ctx.now, gb: job.spec.imageGb, ready: false });
@@ -292,11 +297,10 @@
 }
 
 /** `spreadRoom` counted what was there before this pass; this counts what the pass added. */
-function placedIn(job: LiveJob, zone: string, attempt: number): number {
+function placedIn(job: LiveJob, zone: string, before: number): number {
   if (!job.spec.spread) return 0;
   let n = 0;
-  for (const p of job.placements.values())
-    if (p.attempt === attempt && p.machine.zone === zone) n++;
+  for (const p of job.placements.values()) if (p.version > before && p.machine.zone === zone) n++;
   return n;
 }
 
@@ -433,22 +437,40 @@
   if (quota <= 0 || job.pendingCount === 0 || job.onTrial) return;
   const on = candidates(job, ctx, care);
   if (on.length === 0) return;
-  // A pipeline is one value of bounded length: no more is placed than it can hold.
+  const most = job.partSize === null ? fitting(job, on, quota, ctx) : inParts(job, on, ctx);
+  // One task shows as well as all of them whether the job still fails.
+  const limit = Math.min(quota, most.tasks, job.suspect === null ? quota : 1);
+  const tasks = take(job.pending(), limit);
+  if (tasks.length > 0) place(job, tasks, on.slice(0, most.machines), ctx);
+}
+
+/** A pipeline in one value of bounded length: no more is placed than it can hold at the worst. */
+function fitting(job: LiveJob, on: readonly Candidate[], quota: number, ctx: PlanContext) {
   let room = 0.95 * ctx.valueBytes - job.worstBytes();
-  let n = 0;
+  let tasks = 0;
   let machines = 0;
   for (const c of on) {
     room -= c.machine.name.length + 12;
     const fit = Math.min(c.fits, Math.floor(room / (2 * job.taskBytes)));
     if (fit < 1) break;
     room -= fit * 2 * job.taskBytes;
-    n += fit;
+    tasks += fit;
     machines++;
-    if (n >= quota) break;
+    if (tasks >= quota) break;
   }
-  // One task shows as well as all of them whether the job still fails.
-  const tasks = take(job.pending(), Math.min(quota, n, job.suspect === null ? n : 1));
-  if (tasks.length > 0) place(job, tasks, on.slice(0, machines), ctx);
+  return { tasks, machines };
+}
+
+/**
+ * In parts: any number of tasks fits. But each part is a write, so no more are begun than go into
+ * one transaction beside those of others.
+ */
+function inParts(job: LiveJob, on: readonly Candidate[], ctx: PlanContext) {
+  let parts = Math.floor(ctx.settings.txnOps / 4);
+  for (const part of job.unsaved) if (part.startsWait) parts--;
+  let fits = 0;
+  for (const c of on) fits += c.fits;
+  return { tasks: Math.max(0, Math.min(fits, parts * job.partSize!)), machines: on.length };
 }
 
 /**
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -2,6 +2,7 @@
  * What the state service holds, as every node follows it.
  *
  *   p/<id>   a live pipeline          d/<id>  how a job ended, for ever
+ *   q/<id>/<n>  tasks of a large one, so many in a part
  *   x/<id>   a cancellation           g/<n>    machines that may hold tasks, many in one value
  *   lead     who holds the term       epoch   the count of terms, also the workers' token
  *   types    the machine types, for a start while the cloud is down
@@ -12,6 +13,7 @@
 
 export const KEY = {
   live: (id: string) => `p/${id}`,
+  part: (id: string, n: number) => `q/${id}/${n}`,
   final: (id: string) => `d/${id}`,
   cancel: (id: string) => `x/${id}`,
   group: (n: number) => `g/${n}`,
@@ -57,6 +59,21 @@
   /** Tasks done. */
   readonly done: string;
   readonly pl: readonly StoredPlacements[];
+  /**
+   * Tasks in a part, if it is too large for one value. Then `done` holds those of parts that are over,
+   * and what is under way in the others stands in them.
+   */
+  readonly c?: number;
+}
+
+/** Some tasks of a large job, by their numbers less that of the first. */
+export interface StoredPart {
+  /** The job's count of changes as of this one. */
+  readonly v: number;
+  /** Next attempt number in this part. */
+  readonly n: number;
+  readonly done: string;
+  readonly pl: readonly StoredPlacements[];
 }
 
 /**
@@ -96,6 +113,9 @@
 export class Records {
   readonly live = new Map<string, Marked<StoredJob>>();
   readonly finals = new Map<string, StoredFinal>();
+  private readonly parts = new Map<string, Map<number, Marked<StoredPart>>>();
+  /** Tasks done and placed, counted once for each stored value: users ask far more often. */
+  private readonly counts = new WeakMap<object, { done: number; running: number }>();
   /** Cancelled jobs whose end is not stored yet, and whether users may be told. */
   readonly cancels = new Map<string, { told: boolean }>();
   private readonly zoneOf = new Map<string, string>();
@@ -110,6 +130,7 @@
   reset(items: readonly Item[], ledger: number): void {
     this.live.clear();
     this.finals.clear();
+    this.parts.clear();
     this.cancels.clear();
     this.groups.clear();
     this.lead = null;
@@ -127,6 +148,7 @@
       else this.put(e.key, e.value, e.mark);
       const kind = e.key.slice(0, 2);
       if (kind === "p/" || kind === "x/" || kind === "d/") touched.jobs.add(e.key.slice(2));
+      else if (kind === "q/") touched.jobs.add(partName(e.key.slice(2)).id);
       else if (e.key === KEY.lead || e.key === KEY.epoch) touched.lead = true;
     }
     if (ledger > this.ledger) this.ledger = ledger;
@@ -137,7 +159,15 @@
     const name = key.slice(2);
     if (key.startsWith("p/")) this.live.set(name, { value: value as StoredJob, mark });
     else if (key.startsWith("d/")) this.finals.set(name, value as StoredFinal);
-    else if (key.startsWith("x/")) {
+    else if (key.startsWith("q/")) {
+      const { id, n } = partName(name);
+      let of = this.parts.get(id);
+      if (of === undefined) {
+        of = new Map();
+        this.parts.set(id, of);
+      }
+      of.set(n, { value: value as StoredPart, mark });
+    } else if (key.startsWith("x/")) {
       this.cancels.set(name, { told: (value as StoredCancel).told !== false });
     } else if (key.startsWith("g/")) {
       const machines = value as StoredGroup;
@@ -152,21 +182,45 @@
     const name = key.slice(2);
     if (key.startsWith("p/")) this.live.delete(name);
     else if (key.startsWith("d/")) this.finals.delete(name);
-    else if (key.startsWith("x/")) this.cancels.delete(name);
+    else if (key.startsWith("q/")) {
+      const { id, n } = partName(name);
+      const of = this.parts.get(id);
+      of?.delete(n);
+      if (of?.size === 0) this.parts.delete(id);
+    } else if (key.startsWith("x/")) this.cancels.delete(name);
     else if (key.startsWith("g/")) this.groups.delete(Number(name));
     else if (key === KEY.lead) this.lead = null;
   }
 
+  /** Stored parts of a large job, by their number. */
+  partsOf(id: string): ReadonlyMap<number, Marked<StoredPart>> {
+    return this.parts.get(id) ?? NO_PARTS;
+  }
+
   /** Zones in which tasks of the job may be. */
   zonesOf(id: string): Set<string> {
     const out = new Set<string>();
-    for (const p of placedIn(this.live.get(id)?.value.pl ?? [])) {
-      const zone = this.zoneOf.get(p.machine);
-      if (zone !== undefined) out.add(zone);
-    }
+    const add = (pl: readonly StoredPlacements[]): void => {
+      for (const p of placedIn(pl)) {
+        const zone = this.zoneOf.get(p.machine);
+        if (zone !== undefined) out.add(zone);
+      }
+    };
+    add(this.live.get(id)?.value.pl ?? []);
+    for (const part of this.partsOf(id).values()) add(part.value.pl);
     return out;
   }
 
+  private count(of: Marked<StoredJob | StoredPart>): { done: number; running: number } {
+    let c = this.counts.get(of);
+    if (c === undefined) {
+      c = { done: Ranges.parse(of.value.done).size, running: 0 };
+      for (const p of placedIn(of.value.pl)) c.running += Ranges.parse(p.tasks).size;
+      this.counts.set(of, c);
+    }
+    return c;
+  }
+
   /** What a user is told of a job, or null if no such job was ever accepted. */
   view(id: string): JobView | null {
     const final = this.finals.get(id);
@@ -175,10 +229,20 @@
     }
     const live = this.live.get(id);
     if (live === undefined) return null;
-    const done = Ranges.parse(live.value.done).size;
+    let { done, running } = this.count(live);
+    for (const part of this.partsOf(id).values()) {
+      const c = this.count(part);
+      done += c.done;
+      running += c.running;
+    }
     if (this.cancels.get(id)?.told) return { id, state: "cancelled", done, running: 0 };
-    let running = 0;
-    for (const p of placedIn(live.value.pl)) running += Ranges.parse(p.tasks).size;
     return { id, state: running > 0 ? "running" : "queued", done, running };
   }
 }
+
+const NO_PARTS: ReadonlyMap<number, Marked<StoredPart>> = new Map();
+
+function partName(name: string): { id: string; n: number } {
+  const slash = name.lastIndexOf("/");
+  return { id: name.slice(0, slash), n: Number(name.slice(slash + 1)) };
+}
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -26,6 +26,7 @@
   serves,
   type WriteOutcome,
 } from "./office.js";
+import { partSize, standsInParts } from "./parts.js";
 import { acceptable, eventName, occur } from "./pipeline.js";
 import {
   careForGpus,
@@ -135,19 +136,29 @@
       return;
     }
     if (job === undefined) {
-      job = new LiveJob(stored.value, stored.mark);
+      const { tasks } = stored.value.j;
+      const bytes = this.valueBytes();
+      const size = standsInParts(tasks, bytes) ? partSize(bytes) : null;
+      job = new LiveJob(stored.value, stored.mark, records.partsOf(id), size);
       this.office.cluster.jobs.set(id, job);
-      this.adopt(job, stored.value.pl, now);
+      this.adopt(job, stored.value.pl, 0, now);
+      for (const [n, part] of records.partsOf(id)) {
+        this.adopt(job, part.value.pl, n * (job.partSize ?? 0), now);
+      }
       this.fleet.noteShape(job.spec);
       this.office.needPlan = true;
-    } else if (stored.mark > job.mark) {
-      job.mark = stored.mark;
-      if (stored.value.v > job.savedVersion) job.savedVersion = stored.value.v;
+    } else {
+      if (stored.mark > job.main.mark) job.stored(job.main, stored.value.v, stored.mark);
+      for (const [n, { value, mark }] of records.partsOf(id)) {
+        const part = job.parts.get(n);
+        if (part !== undefined && mark > part.mark) job.stored(part, value.v, mark);
+      }
     }
     if (records.cancels.has(id) && !job.cancelled) this.cancel(job, now);
   }
 
-  private adopt(job: LiveJob, stored: readonly StoredPlacements[], now: number) {
+  /** `first`: the number of the first task that these stand for. */
+  private adopt(job: LiveJob, stored: readonly StoredPlacements[], first: number, now: number) {
     for (const { machine: name, session, attempt, tasks } of placedIn(stored)) {
       let m = this.office.cluster.machines.get(name);
       if (m === undefined) {
@@ -161,7 +172,7 @@
         this.fleet.askReturn(m, "no record of it");
       }
       for (const task of Ranges.parse(tasks)) {
-        const p = new Placement(job, task, attempt, m, session, 0, now);
+        const p = new Placement(job, first + task, attempt, m, session, 0, now);
         p.state = "loaded";
         this.office.cluster.add(p);
         if (session > m.session) m.session = session;
@@ -415,7 +426,7 @@
     const tasks = job.spec.kind === "gang" ? range(job.spec.tasks) : [task];
     for (const t of tasks) {
       if (!job.done.add(t)) continue;
-      job.touch();
+      job.touch(t);
       const other = job.placements.get(t);
       if (other !== undefined && job.spec.kind !== "gang")
         this.dispatch.stop(other, "already done", 0);
@@ -642,7 +653,7 @@
   ): Output[] {
     this.writing = false;
     if (outcome === "ok") {
-      for (const { job, version } of w.jobs) {
+      for (const { job, version, parts, closed } of w.jobs) {
         if (version === null) {
           this.office.log("job over", {
             job: job.spec.id,
@@ -651,8 +662,8 @@
           this.office.cluster.jobs.delete(job.spec.id);
           continue;
         }
-        job.mark = Math.max(job.mark, revision);
-        job.savedVersion = Math.max(job.savedVersion, version);
+        for (const part of parts) job.stored(part, version, revision);
+        for (const part of closed) job.dropped(part);
       }
       for (const { group, version, names } of w.groups) {
         group.mark = revision;
@@ -668,6 +679,8 @@
     } else if (outcome !== "refused") {
       this.fleet.groups.reread(records);
       for (const { job } of w.jobs) {
+        const live = records.live.get(job.spec.id);
+        if (live !== undefined) job.reread(live, records.partsOf(job.spec.id));
         this.recordChanged(records, job.spec.id, now);
         if (!records.live.has(job.spec.id) && records.finals.has(job.spec.id)) {
           this.forgetJob(job, now);
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -2,14 +2,23 @@
 import type { Change, Condition } from "../wire/state.js";
 import type { Cluster, LiveJob } from "./cluster.js";
 import type { Group, Groups } from "./groups.js";
+import type { Part } from "./parts.js";
 import { rankOf } from "./planner.js";
 import { KEY, type StoredFinal } from "./records.js";
 
 export interface Write {
   readonly conditions: Condition[];
   readonly changes: Change[];
-  /** Jobs in it, with the version that becomes the stored one; null: the final record. */
-  readonly jobs: { readonly job: LiveJob; readonly version: number | null }[];
+  /**
+   * Jobs in it, with the version that becomes the stored one (null: the final record), the parts that
+   * are stored, and those that are over and go.
+   */
+  readonly jobs: {
+    readonly job: LiveJob;
+    readonly version: number | null;
+    readonly parts: readonly Part[];
+    readonly closed: readonly Part[];
+  }[];
   readonly groups: { readonly group: Group; readonly version: number; readonly names: string[] }[];
 }
 
@@ -46,40 +55,93 @@
     w.groups.push({ group: g, version: g.version, names: [...g.entries.keys()] });
   }
   for (const job of writeOrder(cluster)) {
-    const id = job.spec.id;
-    const ending = over(job);
-    if (urgentOnly && !ending && job.placedVersion <= job.savedVersion) continue;
-    const ops = ending ? (job.cancelled ? 3 : 2) : 1;
-    if (w.changes.length + ops > maxOps) break;
-    let size = 400;
-    const conditions: Condition[] = [{ key: KEY.live(id), mark: job.mark }];
-    const changes: Change[] = [];
-    if (ending) {
-      const value: StoredFinal = {
-        s: job.cancelled ? "cancelled" : "done",
-        n: job.spec.tasks,
-      };
-      conditions.push({ key: KEY.final(id), mark: 0 });
-      // Done and cancelled exclude each other: whichever is stored first rejects the other.
-      if (!job.cancelled) conditions.push({ key: KEY.cancel(id), mark: 0 });
-      changes.push({ op: "put", key: KEY.final(id), value });
-      changes.push({ op: "delete", key: KEY.live(id) });
-      if (job.cancelled) changes.push({ op: "delete", key: KEY.cancel(id) });
-    } else {
-      if (!job.dirty) continue;
-      const value = job.toStored();
-      size += JSON.stringify(value).length;
-      changes.push({ op: "put", key: KEY.live(id), value });
-    }
+    if (urgentOnly && !over(job) && !job.startsWait) continue;
+    const left = maxOps - w.changes.length;
+    const ending = over(job) && finalOps(job) <= left;
+    if (!ending && !job.dirty && !over(job)) continue;
+    const piece = ending ? final(job) : changed(job, left, urgentOnly);
+    if (piece === null) break;
+    const size = 400 + JSON.stringify(piece.changes).length;
     if (bytes + size > maxBytes && w.changes.length > 0) break;
     bytes += size;
-    w.conditions.push(...conditions);
-    w.changes.push(...changes);
-    w.jobs.push({ job, version: ending ? null : job.version });
+    w.conditions.push(...piece.conditions);
+    w.changes.push(...piece.changes);
+    const { parts, closed } = piece;
+    w.jobs.push({ job, version: ending ? null : job.version, parts, closed });
   }
   return w.changes.length === 0 ? null : w;
 }
 
+interface Piece {
+  readonly conditions: Condition[];
+  readonly changes: Change[];
+  readonly parts: Part[];
+  readonly closed: Part[];
+}
+
+const stored = (job: LiveJob): Part[] => [...job.parts.values()].filter((p) => p.mark > 0);
+const finalOps = (job: LiveJob): number => (job.cancelled ? 3 : 2) + stored(job).length;
+
+/** The final record takes the place of all that is stored of the job. */
+function final(job: LiveJob): Piece {
+  const { id, tasks } = job.spec;
+  const value: StoredFinal = { s: job.cancelled ? "cancelled" : "done", n: tasks };
+  const conditions = [
+    { key: KEY.live(id), mark: job.main.mark },
+    { key: KEY.final(id), mark: 0 },
+  ];
+  // Done and cancelled exclude each other: whichever is stored first rejects the other.
+  if (!job.cancelled) conditions.push({ key: KEY.cancel(id), mark: 0 });
+  const changes: Change[] = [
+    { op: "put", key: KEY.final(id), value },
+    { op: "delete", key: KEY.live(id) },
+  ];
+  if (job.cancelled) changes.push({ op: "delete", key: KEY.cancel(id) });
+  for (const p of stored(job)) changes.push({ op: "delete", key: KEY.part(id, p.n) });
+  return { conditions, changes, parts: [], closed: [] };
+}
+
+/** What changed of a job: its own value, and its parts, as many as there is room for; null: none. */
+function changed(job: LiveJob, room: number, urgentOnly: boolean): Piece | null {
+  const { id } = job.spec;
+  const piece: Piece = {
+    // Each time a part goes, this mark changes: a late copy of an older write cannot bring it back.
+    conditions: [{ key: KEY.live(id), mark: job.main.mark }],
+    changes: [],
+    parts: [],
+    closed: [],
+  };
+  let left = room;
+  const open: Part[] = [];
+  for (const p of over(job) ? job.parts.values() : job.unsaved) {
+    if (p === job.main) continue;
+    if (!job.isOver(p)) {
+      if (!urgentOnly || p.startsWait) open.push(p);
+    } else if (p.mark === 0 || left > 1) {
+      job.close(p);
+      piece.closed.push(p);
+      if (p.mark === 0) continue;
+      left--;
+      piece.conditions.push({ key: KEY.part(id, p.n), mark: p.mark });
+      piece.changes.push({ op: "delete", key: KEY.part(id, p.n) });
+    }
+  }
+  if (job.main.unsaved) {
+    if (left < 1) return null;
+    left--;
+    piece.changes.unshift({ op: "put", key: KEY.live(id), value: job.toStored() });
+    piece.parts.push(job.main);
+  }
+  for (const p of open) {
+    if (left < 1) break;
+    left--;
+    piece.conditions.push({ key: KEY.part(id, p.n), mark: p.mark });
+    piece.changes.push({ op: "put", key: KEY.part(id, p.n), value: job.toStoredPart(p) });
+    piece.parts.push(p);
+  }
+  return piece.changes.length === 0 ? null : piece;
+}
+
 /**
  * Production placements first, then ends, since users wait for them and they are few; then other
  * placements, of which a busy day has more than can be written; then progress. (Ends behind all
@@ -88,7 +150,7 @@
 function writeOrder(cluster: Cluster): LiveJob[] {
   const level = (j: LiveJob): number => {
     if (over(j)) return 1;
-    if (j.placedVersion <= j.savedVersion) return 3;
+    if (!j.startsWait) return 3;
     return j.spec.priority === "production" ? 0 : 2;
   };
   const dirty: { job: LiveJob; level: number }[] = [];
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -342,7 +342,12 @@
   readonly returned: string[] = [];
   /** Tasks that were started and have not ended, on all machines. */
   readonly running = new Set<string>();
-  readonly starts: { readonly job: string; readonly machine: string; readonly at: number }[] = [];
+  readonly starts: {
+    readonly job: string;
+    readonly task: number;
+    readonly machine: string;
+    readonly at: number;
+  }[] = [];
   /** Most tasks that were on machines at one time. */
   peak = 0;
   /** Tasks that were started while they were on another machine. */
@@ -426,7 +431,7 @@
       tasks.set(key, t);
       if (this.running.has(idOf(t.task))) this.twice.push(key);
       this.running.add(idOf(t.task));
-      this.starts.push({ job: c.job, machine: name, at: this.holder.now });
+      this.starts.push({ job: c.job, task: c.task, machine: name, at: this.holder.now });
       if (fate === "error") this.end(t, "error");
       else t.endsAt = this.holder.now + fate;
     } else if (c.op === "stop" && known !== undefined && known.task.state !== "exited") {
