--- a/src/controller.ts
+++ b/src/controller.ts
@@ -567,6 +567,7 @@
     if (w === null) return;
     this.writes.force(w.changes.length, now);
     this.writing = true;
+    this.log.debug({ ...w.counts, room }, "write");
     void this.commit(term, scheduler, w).finally(() => {
       this.writing = false;
       this.queueTick();
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -20,6 +20,8 @@
     readonly closed: readonly Part[];
   }[];
   readonly groups: { readonly group: Group; readonly version: number; readonly names: string[] }[];
+  /** Changes by what they are for. */
+  readonly counts: { machines: number; placements: number; ends: number; progress: number };
 }
 
 export interface WriteLimits {
@@ -43,6 +45,7 @@
     changes: [],
     jobs: [],
     groups: [],
+    counts: { machines: 0, placements: 0, ends: 0, progress: 0 },
   };
   let bytes = 200;
   for (const g of groups.dirty()) {
@@ -52,6 +55,7 @@
     const key = groups.key(g);
     w.conditions.push({ key, mark: g.mark });
     w.changes.push({ op: "put", key, value: g.toStored() });
+    w.counts.machines++;
     w.groups.push({ group: g, version: g.version, names: [...g.entries.keys()] });
   }
   for (const job of writeOrder(cluster)) {
@@ -64,6 +68,7 @@
     const size = 400 + JSON.stringify(piece.changes).length;
     if (bytes + size > maxBytes && w.changes.length > 0) break;
     bytes += size;
+    w.counts[ending ? "ends" : job.startsWait ? "placements" : "progress"] += piece.changes.length;
     w.conditions.push(...piece.conditions);
     w.changes.push(...piece.changes);
     const { parts, closed } = piece;
