--- a/src/controller.ts
+++ b/src/controller.ts
@@ -14,6 +14,7 @@
 import type { JobSpec, JobView, MachineType, Report } from "./core/model.js";
 import { KEY, Records, type StoredLead, type Touched } from "./core/records.js";
 import { canEverRun, isKept, type Output, Scheduler } from "./core/scheduler.js";
+import { OWN, WriteShare } from "./core/share.js";
 import { Term } from "./core/term.js";
 import type { Write } from "./core/writer.js";
 import { Mesh } from "./mesh/mesh.js";
@@ -38,6 +39,7 @@
   private readonly intake: Intake;
   private readonly mesh: Mesh;
   private readonly writes: Bucket;
+  private readonly share: WriteShare;
   private readonly app: FastifyInstance;
   private types: readonly MachineType[] = [];
   private term: Term | null = null;
@@ -83,6 +85,7 @@
     this.follower = new Follower(this.store, this.records, steady, spacing, answerMs, (t) =>
       this.changed(t),
     );
+    this.share = new WriteShare(c.stateWriteRps);
     this.writes = new Bucket(this.writeShare(false), this.writeBurst(false));
     const sentOnRate = (1.5 * ACCEPTS * c.cpuShare) / Math.max(1, c.nodes - 1);
     this.sentOn = new Bucket(sentOnRate, sentOnRate / 2);
@@ -114,20 +117,18 @@
   }
 
   /**
-   * The holder writes most: it has two thirds of the changes a second. Each of the others may use a
-   * sixth, as submissions come in turns and rarely to all at once; if they do, some are refused and
-   * sent again a moment later.
+   * The holder writes most, see `WriteShare`. Each of the others may use a sixth, as submissions come in
+   * turns and rarely to all at once; if they do, some are refused and sent again a moment later.
    */
   private writeShare(holder: boolean): number {
-    const c = this.settings.cluster;
-    return c.stateWriteRps * (holder ? 2 / 3 : 1 / 6);
+    return holder ? this.share.rate(steady()) : this.settings.cluster.stateWriteRps / 6;
   }
   /**
-   * One second's worth, which the state service allows. (The holder was once left with the burst of
-   * another node: too small for any write but the smallest.)
+   * One second's worth of what is a node's own at the least, which the state service allows. (The holder
+   * was once left with the burst of another node: too small for any write but the smallest.)
    */
   private writeBurst(holder: boolean): number {
-    return Math.max(4, this.writeShare(holder));
+    return Math.max(4, this.settings.cluster.stateWriteRps * (holder ? OWN : 1 / 6));
   }
 
   /** For programs that embed a controller. */
@@ -350,6 +351,7 @@
       }
     }
     if (touched === null) this.leadSeenAt = now;
+    else this.share.seen(touched.asked);
     if (this.types.length === 0 && this.records.types !== null) this.types = this.records.types;
     this.queueTick();
   }
@@ -556,6 +558,7 @@
       });
       return;
     }
+    this.writes.setRate(this.writeShare(true), this.writeBurst(true));
     const room = Math.floor(this.writes.available(now));
     if (room < 3 || !scheduler.hasUrgentWrite) return;
     // Progress waits until there is plenty: placements and ends must not wait behind it.
@@ -583,6 +586,7 @@
     if (r.kind === "ok") return finish("ok", r.revision);
     if (r.kind === "refused") {
       this.log.debug({ status: r.status }, "write refused");
+      this.share.refused(steady());
       finish("refused", 0);
       await sleep(this.settings.cluster.reportS / 30);
       return;
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -108,6 +108,8 @@
 export interface Touched {
   readonly jobs: Set<string>;
   lead: boolean;
+  /** Submissions and cancellations among them. */
+  asked: number;
 }
 
 export class Records {
@@ -141,14 +143,16 @@
 
   /** Applies what following returned; changes that are in already are passed over. */
   apply(events: readonly Event[], ledger: number): Touched {
-    const touched: Touched = { jobs: new Set(), lead: false };
+    const touched: Touched = { jobs: new Set(), lead: false, asked: 0 };
     for (const e of events) {
       if (e.mark <= this.ledger) continue;
       if (e.removed) this.remove(e.key);
       else this.put(e.key, e.value, e.mark);
       const kind = e.key.slice(0, 2);
       if (kind === "p/" || kind === "x/" || kind === "d/") touched.jobs.add(e.key.slice(2));
-      else if (kind === "q/") touched.jobs.add(partName(e.key.slice(2)).id);
+      if (!e.removed && (kind === "x/" || (kind === "p/" && (e.value as StoredJob).v === 1)))
+        touched.asked++;
+      if (kind === "q/") touched.jobs.add(partName(e.key.slice(2)).id);
       else if (e.key === KEY.lead || e.key === KEY.epoch) touched.lead = true;
     }
     if (ledger > this.ledger) this.ledger = ledger;
--- /dev/null
+++ b/src/core/share.ts
@@ -0,0 +1,44 @@
+/**
+ * How many changes a second the term holder may write. Two thirds are always its own; of what the
+ * other nodes leave unused, as seen in what they store for users, it takes most. Where the state
+ * service refuses, it goes back to its own for a while. (With two thirds only, the placements of a
+ * new holder and thousands of tiny jobs waited for writes beside an idle state service.)
+ */
+export const OWN = 2 / 3;
+/** Of the whole; the rest covers what is not seen yet. */
+const MOST = 0.95;
+/** What others write may grow by half before it is seen. */
+const LEAVE = 1.5;
+/** Seconds over which others' changes are counted, in seconds' worth of the limit's burst. */
+const OVER_S = 2;
+const AFTER_REFUSAL_S = 5;
+
+export class WriteShare {
+  private others = 0;
+  private pending = 0;
+  private at = Number.NEGATIVE_INFINITY;
+  private refusedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly limit: number) {}
+
+  /** So many submissions and cancellations were stored, by whichever node. */
+  seen(changes: number): void {
+    this.pending += changes;
+  }
+
+  refused(now: number): void {
+    this.refusedAt = now;
+  }
+
+  rate(now: number): number {
+    const passed = Math.min(OVER_S, now - this.at);
+    if (passed > 0) {
+      const weight = passed / OVER_S;
+      this.others = (1 - weight) * this.others + weight * (this.pending / passed);
+      this.pending = 0;
+      this.at = now;
+    }
+    if (now - this.refusedAt < AFTER_REFUSAL_S) return OWN * this.limit;
+    return Math.max(OWN * this.limit, MOST * this.limit - LEAVE * this.others);
+  }
+}
--- a/tests/pieces.test.ts
+++ b/tests/pieces.test.ts
@@ -5,6 +5,7 @@
 import { AdaptiveLimit } from "../src/core/limit.js";
 import { Ranges } from "../src/core/ranges.js";
 import { Records } from "../src/core/records.js";
+import { WriteShare } from "../src/core/share.js";
 import { Term } from "../src/core/term.js";
 import { BeatReader, encodeBeat } from "../src/mesh/codec.js";
 import { decode, encode } from "../src/wire/msgpack.js";
@@ -143,3 +144,19 @@
   ]);
   assert.throws(() => new BeatReader().feed(Buffer.from("GET / HTTP/1.1")));
 });
+
+test("the holder writes what the others leave, and its own part after a refusal", () => {
+  const share = new WriteShare(30);
+  assert.ok(share.rate(0) > 28, "nobody else writes");
+  // Ten submissions a second, at any node.
+  for (let t = 0.25; t <= 10; t += 0.25) {
+    share.seen(2.5);
+    share.rate(t);
+  }
+  assert.equal(share.rate(10), 20);
+  for (let t = 10.25; t <= 20; t += 0.25) share.rate(t);
+  assert.ok(share.rate(20) > 28);
+  share.refused(20);
+  assert.equal(share.rate(24), 20);
+  assert.ok(share.rate(26) > 28);
+});
