Questions have a limit of their own; who is refused comes back in turns

Submissions, cancellations and questions shared one adaptive limit, so a storm of questions refused submissions. Test: storm.test.ts (with one limit for both, none of the eight submissions is taken).

--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -15,6 +15,8 @@
 import type { IntakeResult } from "./intake.js";
 
 const BODY_LIMIT = 64 * 1024;
+/** Those refused for being too many come back over so many seconds. */
+const TURNS = 3;
 
 /** What the server asks of the controller it is the front of. */
 export interface Desk {
@@ -36,7 +38,12 @@
 }
 
 export interface ServerOptions {
-  readonly limit: AdaptiveLimit;
+  /**
+   * Limits on what is in progress: of questions, and of submissions and cancellations. They are apart,
+   * so that a storm of questions refuses none of the others.
+   */
+  readonly questions: AdaptiveLimit;
+  readonly wishes: AdaptiveLimit;
   readonly now: () => number;
   /** Seconds after which a refused client may come back. */
   readonly retryAfterS: number;
@@ -59,8 +66,8 @@
 
   const send = (reply: FastifyReply, status: number, body: unknown): FastifyReply =>
     reply.code(status).header("content-type", "application/msgpack").send(encode(body));
-  const refuse = (reply: FastifyReply, status: number, error: string): FastifyReply => {
-    reply.header("retry-after", String(Math.max(1, Math.ceil(options.retryAfterS))));
+  const refuse = (reply: FastifyReply, status: number, error: string, laterS = 0): FastifyReply => {
+    reply.header("retry-after", String(Math.max(1, Math.ceil(options.retryAfterS)) + laterS));
     // Connections are not moved between nodes: one that we cannot serve is better opened anew.
     if (status === 503) reply.header("connection", "close");
     return send(reply, status, { error });
@@ -74,17 +81,19 @@
     }
   };
 
-  /** Users' requests share one limit; past it they are refused at once. */
+  /** Past the limit users' requests are refused at once, and told to come back in turns. */
+  let turned = 0;
   const limited = async (
+    limit: AdaptiveLimit,
     reply: FastifyReply,
     work: () => Promise<FastifyReply>,
   ): Promise<FastifyReply> => {
-    if (!options.limit.enter()) return refuse(reply, 429, "busy");
+    if (!limit.enter()) return refuse(reply, 429, "busy", turned++ % TURNS);
     const began = options.now();
     try {
       return await work();
     } finally {
-      options.limit.leave(options.now() - began);
+      limit.leave(options.now() - began);
     }
   };
 
@@ -102,7 +111,7 @@
   );
 
   app.post(PATH.jobs, (req, reply) =>
-    limited(reply, async () => {
+    limited(options.wishes, reply, async () => {
       const body = unpack(req.body);
       const spec = decodeJob(body);
       if (spec === null) {
@@ -141,7 +150,7 @@
   );
 
   app.get<{ Params: { id: string } }>(`${PATH.jobs}/:id`, (req, reply) =>
-    limited(reply, async () => {
+    limited(options.questions, reply, async () => {
       const { id } = req.params;
       if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
       const known = await desk.read(id);
@@ -152,7 +161,7 @@
   );
 
   app.post<{ Params: { id: string } }>(`${PATH.jobs}/:id/${PATH.cancel}`, (req, reply) =>
-    limited(reply, async () => {
+    limited(options.wishes, reply, async () => {
       const { id } = req.params;
       if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
       for (let i = 0; i < 2; i++) {
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -102,12 +102,11 @@
         zone: Math.max(0, c.zones.indexOf(settings.zone)),
       }),
     );
+    const limit = (): AdaptiveLimit =>
+      new AdaptiveLimit(operator.maxInProgress / 50, operator.maxInProgress, answerMs / 2000);
     this.app = buildServer(this, {
-      limit: new AdaptiveLimit(
-        operator.maxInProgress / 50,
-        operator.maxInProgress,
-        answerMs / 2000,
-      ),
+      questions: limit(),
+      wishes: limit(),
       now: steady,
       retryAfterS: 1,
       // A peer that vanished without a word must not hold a socket for long.
