Machines that are late are not counted on: others are rented, elsewhere if there is a choice

Room that was booting counted for four times the usual time, and what came up later went back; where all take five times as long none would ever have come.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -5,6 +5,7 @@
 import type { JobSpec, ListedMachine } from "./model.js";
 import type { Office } from "./office.js";
 import {
+  lateOfKinds,
   machinesInZones,
   offerKey,
   type RentContext,
@@ -13,6 +14,10 @@
   wanted,
 } from "./renting.js";
 
+/** Usual times to boot after which a machine goes back as one that never comes up, at first and at most. */
+const PATIENCE = 4;
+const MOST_PATIENCE = 12;
+
 export class Fleet {
   readonly groups: Groups;
   /** Machines that are proven gone. */
@@ -46,6 +51,31 @@
     else this.shapes.set(spec.class, { spec, running: s.running });
   }
 
+  /** It came up: so others of its type may take as long. */
+  cameUp(m: Machine, now: number): void {
+    const took = (now - m.bootingSince) / m.type.bootS;
+    const patience = this.patience.get(m.type.name) ?? PATIENCE;
+    const next = Math.max(PATIENCE, 2 * took, 0.9 * patience);
+    this.patience.set(m.type.name, Math.min(next, MOST_PATIENCE));
+  }
+
+  /**
+   * Machines that do not come up go back; after each the next of the type has longer, up to a bound. (If
+   * all take longer than what is waited for, none would ever come.)
+   */
+  returnLate(now: number): void {
+    for (const m of this.office.cluster.machines.values()) {
+      if (m.state !== "booting") continue;
+      const { name, bootS } = m.type;
+      const patience = this.patience.get(name) ?? PATIENCE;
+      if (now - m.bootingSince <= patience * bootS) continue;
+      this.askReturn(m, "never came up");
+      this.patience.set(name, Math.min(1.1 * patience, MOST_PATIENCE));
+    }
+  }
+  /** By type, in usual times to boot. */
+  private readonly patience = new Map<string, number>();
+
   askReturn(m: Machine, why: string): void {
     if (this.pendingReturns.has(m.name) || m.state === "gone") return;
     this.pendingReturns.set(m.name, why);
@@ -102,6 +132,7 @@
       spare: this.office.options.spare,
       maxMachines: this.office.options.maxMachines,
       inZone: machinesInZones(this.office.cluster),
+      late: lateOfKinds(this.office.cluster, now),
     };
     const r = wanted(ctx, this.waiting, this.shapes.values());
     if (r !== null) {
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -31,6 +31,8 @@
   readonly spare: number;
   readonly maxMachines: number;
   readonly inZone: ReadonlyMap<string, number>;
+  /** How many machines of a kind are late now. */
+  readonly late: ReadonlyMap<string, number>;
 }
 
 export function machinesInZones(cluster: Cluster): Map<string, number> {
@@ -41,28 +43,50 @@
   return inZone;
 }
 
+export function lateOfKinds(cluster: Cluster, now: number): Map<string, number> {
+  const late = new Map<string, number>();
+  for (const m of cluster.machines.values()) {
+    if (!isLate(m, now)) continue;
+    const key = offerKey(m.type.name, m.zone, m.spot);
+    late.set(key, (late.get(key) ?? 0) + 1);
+  }
+  return late;
+}
+
 export const offerKey = (type: string, zone: string, spot: boolean): string =>
   `${type} ${zone} ${spot ? "spot" : "ordinary"}`;
 
-/** A machine that fell silent offers no room, though it may come back. */
-function willTake(m: Machine): boolean {
+/**
+ * Usual times to boot within which a machine counts as coming. One that is later may yet come, or never:
+ * others are rented meanwhile, elsewhere if there is a choice. (All that was booting counted for four
+ * times the usual, and while machines came late or never nobody rented another.)
+ */
+const COMING = 2;
+export const isLate = (m: Machine, now: number): boolean =>
+  m.state === "booting" && now - m.bootingSince > COMING * m.type.bootS;
+
+/** A machine that fell silent, or is late, offers no room, though it may come. */
+function willTake(m: Machine, now: number): boolean {
   return (
-    (m.state === "booting" || (m.state === "up" && m.deafSince === null)) &&
+    ((m.state === "booting" && !isLate(m, now)) || (m.state === "up" && m.deafSince === null)) &&
     m.drain === null &&
     m.takenAt === null
   );
 }
 
 /** Free room for a shape on machines that are up or coming up. */
-export function freeSlots(cluster: Cluster, spec: JobSpec): number {
+export function freeSlots(cluster: Cluster, spec: JobSpec, now: number): number {
   let n = 0;
   for (const m of cluster.machines.values()) {
-    if (!willTake(m) || !typeAllowed(spec, m.type.name, m.zone, m.spot)) continue;
+    if (!willTake(m, now) || !typeAllowed(spec, m.type.name, m.zone, m.spot)) continue;
     n += slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
   }
   return n;
 }
 
+/** Machines of a kind that are late: more of them speak no louder. */
+const DOUBT = 3;
+
 /** The offer that serves the shape at the least price for each task, among those not refused. */
 function offer(
   spec: JobSpec,
@@ -77,14 +101,17 @@
     for (const zone of type.zones) {
       for (const spot of spec.spot ? [true, false] : [false]) {
         if (!typeAllowed(spec, type.name, zone, spot)) continue;
-        const until = ctx.refused.get(offerKey(type.name, zone, spot));
+        const key = offerKey(type.name, zone, spot);
+        const until = ctx.refused.get(key);
         if (until !== undefined && until > ctx.now) continue;
         // Work without GPUs takes GPU machines only as a last resort.
         const gpuWaste = type.gpus > 0 && spec.gpus === 0 ? 100 : 1;
         const price = spot ? type.spotPrice : type.price;
+        // Another kind for as much again rather than one of which several do not come up.
+        const doubt = 1 + Math.min(DOUBT, ctx.late.get(key) ?? 0);
         // Zones with fewer machines first, by a little.
         const cost =
-          (gpuWaste * price) / Math.min(perMachine, Math.max(want, 1)) +
+          (gpuWaste * doubt * price) / Math.min(perMachine, Math.max(want, 1)) +
           1e-4 * (ctx.inZone.get(zone) ?? 0);
         if (cost < bestCost) {
           best = { type, zone, spot, perMachine };
@@ -103,7 +130,7 @@
   shapes: Iterable<Shape>,
 ): Rental | null {
   if (ctx.cluster.machines.size >= ctx.maxMachines) return null;
-  const booting = bootingRoom(ctx.cluster);
+  const booting = bootingRoom(ctx.cluster, ctx.now);
   // Who comes first decides what is asked for; those behind it whom the same kind serves best join in.
   // (One request for each job took a minute to rent what was on offer.)
   let first = null as Rental | null;
@@ -128,7 +155,7 @@
   }
   for (const shape of shapes) {
     const keep = Math.max(1, Math.ceil(ctx.spare * shape.running));
-    const free = freeSlots(ctx.cluster, shape.spec);
+    const free = freeSlots(ctx.cluster, shape.spec, ctx.now);
     if (free >= keep) continue;
     const r = rental(shape.spec, keep - free, `spare room for ${shape.spec.class}`, ctx);
     if (r !== null) return r;
@@ -148,10 +175,10 @@
 }
 
 /** Room on machines that are coming up, handed out once to each asker in turn. */
-function bootingRoom(cluster: Cluster): (spec: JobSpec, need: number) => number {
+function bootingRoom(cluster: Cluster, now: number): (spec: JobSpec, need: number) => number {
   const left = new Map<Machine, { cpus: number; gpus: number; memory: number }>();
   for (const m of cluster.machines.values()) {
-    if (m.state === "booting") {
+    if (m.state === "booting" && !isLate(m, now)) {
       left.set(m, { cpus: m.type.cpus, gpus: m.type.gpus, memory: m.type.memoryGb });
     }
   }
@@ -177,7 +204,7 @@
     (m) => m.state === "up" && m.placements.size === 0 && ctx.now - m.idleSince >= idleS,
   );
   if (idle.length === 0) return [];
-  const free = new Map(shapes.map((s) => [s, freeSlots(ctx.cluster, s.spec)]));
+  const free = new Map(shapes.map((s) => [s, freeSlots(ctx.cluster, s.spec, ctx.now)]));
   for (const m of idle) {
     const needed = shapes.some((s) => {
       if (!typeAllowed(s.spec, m.type.name, m.zone, m.spot)) return false;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -280,6 +280,7 @@
     if (m === null) return null;
     if (!isNewer(r, m)) return m;
     if (m.state === "booting") {
+      this.fleet.cameUp(m, now);
       m.state = "up";
       m.idleSince = now;
       this.office.needPlan = true;
--- a/src/core/watch.ts
+++ b/src/core/watch.ts
@@ -111,11 +111,7 @@
         m.ended.clear();
       }
     }
-    for (const m of this.office.cluster.machines.values()) {
-      if (m.state === "booting" && now - m.bootingSince > 4 * m.type.bootS) {
-        this.fleet.askReturn(m, "never came up");
-      }
-    }
+    this.fleet.returnLate(now);
   }
 
   /**
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -154,6 +154,7 @@
       spare: 1,
       maxMachines: 1000,
       inZone: machinesInZones(h.scheduler.cluster),
+      late: new Map(),
     },
     [...h.scheduler.cluster.jobs.values()],
     [],
