--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -21,6 +21,8 @@
 /** What the server asks of the controller it is the front of. */
 export interface Desk {
   healthy(): boolean;
+  /** Users are to go to other nodes, though what they ask here is answered. */
+  leavesUsers(): boolean;
   /** A verified read: null for a job that was never accepted, "unavailable" if nobody can tell. */
   read(id: string): Promise<JobView | null | "unavailable">;
   /** Can it ever run? "unknown" while the machine types are not known. */
@@ -92,6 +94,8 @@
   ): Promise<FastifyReply> => {
     if (!limit.enter()) return refuse(reply, 429, "busy", turned++ % TURNS);
     const began = options.now();
+    // A connection closed with its answer is not reset later with a request on its way.
+    if (desk.leavesUsers()) reply.header("connection", "close");
     try {
       return await work();
     } finally {
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -27,6 +27,8 @@
 const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
 /** Connections that one core accepts in a second while there is other work. */
 const ACCEPTS = 500;
+/** Other nodes that are enough for the users: one may end and two are left. */
+const OTHERS = 3;
 /** A transaction's limit by the protocol, less room for the message around it. */
 const TXN_BYTES = 60 * 1024;
 
@@ -176,9 +178,24 @@
    * it either, it is down for all, and being passed over would only delay the return.
    */
   healthy(): boolean {
-    return this.follower.loaded && (this.stateOk() || !this.mesh.siblingReachesState());
+    const useful = this.stateOk() || !this.mesh.siblingReachesState();
+    return this.follower.loaded && useful && !this.leavesUsers();
   }
 
+  /**
+   * The holder has most to do: where enough others are in contact, they take the users, who then notice
+   * neither its long passes nor its end.
+   */
+  leavesUsers(): boolean {
+    if (this.term === null) this.left = false;
+    else {
+      const others = this.mesh.inContact();
+      this.left = others >= OTHERS || (this.left && others >= OTHERS - 1);
+    }
+    return this.left;
+  }
+  private left = false;
+
   async read(id: string): Promise<JobView | null | "unavailable"> {
     if (!this.stateOk()) return "unavailable";
     return (await this.follower.catchUp()) ? this.records.view(id) : "unavailable";
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -33,6 +33,14 @@
     return this.now() - this.okAt < 4 * this.everyS;
   }
 
+  /** Other controllers that reached the state service a moment ago. */
+  inContact(): number {
+    let n = 0;
+    for (const at of this.heardAt.values()) if (this.now() - at < 4 * this.everyS) n++;
+    return n;
+  }
+  private readonly heardAt = new Map<Socket, number>();
+
   /** A controller of that zone that reaches the state service spoke a moment ago. */
   hearsZone(zone: number): boolean {
     return this.now() - (this.zoneAt.get(zone) ?? Number.NEGATIVE_INFINITY) < 2.5 * this.everyS;
@@ -73,6 +81,7 @@
       for await (const chunk of socket) {
         for (const b of reader.feed(chunk as Buffer)) {
           if (b.stateOk) this.okAt = this.now();
+          if (b.stateOk) this.heardAt.set(socket, this.now());
           if (b.holds) this.holderAt = this.now();
           if (b.stateOk) this.zoneAt.set(b.zone, this.now());
         }
@@ -81,6 +90,7 @@
       // The sender went away, or is none of ours.
     }
     this.inbound.delete(socket);
+    this.heardAt.delete(socket);
     socket.destroy();
   }
 
--- a/tests/storm.test.ts
+++ b/tests/storm.test.ts
@@ -24,9 +24,11 @@
   const asked: ((v: JobView | null) => void)[] = [];
   let stored = 0;
   let storm = true;
+  let leaves = false;
   const view: JobView = { id: "run-1", state: "queued", done: 0, running: 0 };
   const desk: Desk = {
     healthy: () => true,
+    leavesUsers: () => leaves,
     read: () => (storm ? new Promise((r) => asked.push(r)) : Promise.resolve(view)),
     judge: () => "fits",
     submit: async () => {
@@ -68,5 +70,9 @@
   // They come back over several seconds, each told when.
   const after = refused.map((r) => Number(r.headers["retry-after"]));
   for (const s of [1, 2, 3]) assert.ok(after.filter((x) => x === s).length > 100, `${s} s`);
+  // A holder that leaves users to others still answers, and closes the connection with it.
+  leaves = true;
+  const last = await post("/api/jobs", jobBody({ nameId: "run-9" }));
+  assert.deepEqual([last.statusCode, last.headers.connection], [201, "close"]);
   await app.close();
 });
