--- a/tests/alone.test.ts
+++ b/tests/alone.test.ts
@@ -1,12 +1,13 @@
 /** A controller that loses the state service and the other controllers, but not its workers. */
 import assert from "node:assert/strict";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { test } from "node:test";
 import { pino } from "pino";
 import { DEFAULT_OPERATOR } from "../src/config/operator.js";
 import { Controller } from "../src/controller.js";
 import type { Report } from "../src/core/model.js";
 import { ownDependencies, written } from "../src/core/pipeline.js";
+import { encodeBeat } from "../src/mesh/codec.js";
 import { Peer } from "../src/net/client.js";
 import { decode, encode } from "../src/wire/msgpack.js";
 import { encodeReport } from "../src/wire/schema.js";
@@ -36,11 +37,12 @@
 async function nodeWith(state: StateStandIn, cloudAddress: string, leaseS: number) {
   const base = JSON.parse(settingsText()) as { settings: object };
   const address = `127.0.0.1:${await freePort()}`;
+  const mesh = await freePort();
   const read = decodeSettings(
     JSON.stringify({
       ...base,
       serve_on: address,
-      mesh_addr: `127.0.0.1:${await freePort()}`,
+      mesh_addr: `127.0.0.1:${mesh}`,
       siblings: [{ member: "n9", location: "b", addr: `127.0.0.1:${await freePort()}` }],
       services: { cloud: cloudAddress, state: state.address },
       settings: {
@@ -74,7 +76,7 @@
   };
   await node.start();
   for (let i = 0; i < 100 && !node.healthy(); i++) await sleep(0.05);
-  return { node, peer, report };
+  return { node, peer, report, mesh };
 }
 
 test("cut off with its workers it keeps replicas alive without commands, and refuses users at once", {
@@ -187,3 +189,31 @@
     state.stop();
   }
 });
+
+test("a holder leaves users to the others while three are in contact, and takes them back", async () => {
+  const state = new StateStandIn();
+  const cloud = new CloudStandIn();
+  await Promise.all([state.start(), cloud.start()]);
+  const { node, peer, mesh } = await nodeWith(state, cloud.address, 10);
+  await until("holds the term", async () => state.keys.has("lead"));
+  assert.equal(node.healthy(), true, "alone it serves users");
+  const beat = encodeBeat({ stateOk: true, holds: false, epoch: 1, zone: 1 });
+  const others = [1, 2, 3].map(() => connect(mesh, "127.0.0.1"));
+  const beats = setInterval(() => {
+    for (const o of others) if (!o.destroyed) o.write(beat);
+  }, 100);
+  await until("leaves users to the others", async () => !node.healthy());
+  // Whoever comes all the same is answered.
+  const r = await peer.request("GET", "/api/jobs/nobody", null, 2000);
+  assert.deepEqual([r.status, r.headers.get("connection")], [404, "close"]);
+  others[0]!.destroy();
+  await sleep(2);
+  assert.equal(node.healthy(), false, "two are enough to go on so");
+  others[1]!.destroy();
+  await until("one is not enough", async () => node.healthy());
+  clearInterval(beats);
+  others[2]!.destroy();
+  await node.stop();
+  state.stop();
+  cloud.stop();
+});
