--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -228,6 +228,8 @@
       part.saved = value.v;
       // What its tasks were tried with is not all known any more.
       part.attempt = value.n + 1;
+      // A gang's number may be in a part that was stored, and not in its own value that was not.
+      if (this.spec.kind === "gang") this.main.attempt = Math.max(this.main.attempt, part.attempt);
       this.version = Math.max(this.version, value.v);
       for (const t of Ranges.parse(value.done)) this.done.add(part.from + t);
     }
@@ -250,7 +252,9 @@
 
   /** Attempt number for a task that is placed now; those of one pass have `of` in common. */
   attemptFor(task: number, of: number): number {
-    return this.partSize === null || this.spec.kind === "gang" ? of : this.partOf(task).next(task);
+    if (this.partSize === null) return of;
+    const part = this.partOf(task);
+    return this.spec.kind === "gang" ? part.together(of) : part.next(task);
   }
 
   /** Is everything about a task that was true at this version stored? */
--- a/src/core/parts.ts
+++ b/src/core/parts.ts
@@ -7,6 +7,8 @@
  * conditional on the mark of the job's own value, which changes whenever one goes.
  */
 
+import type { JobSpec } from "./model.js";
+
 /** Most bytes of one task that is under way: its machine, its number, what separates them. */
 const TASK_BYTES = 24;
 /** Of a value, what tasks may take; the rest is for attempts and sessions. */
@@ -16,10 +18,15 @@
 export const partSize = (valueBytes: number): number =>
   Math.max(1, Math.floor((FILLED * valueBytes) / TASK_BYTES));
 
-/** Smaller jobs stand in one value: that is one write for each change instead of several. */
+/**
+ * Smaller jobs stand in one value: that is one write for each change instead of several, and an array
+ * that is kept to what one value holds still goes on. The tasks of gangs and services must all run at
+ * one time. (A gang of more than fits one value made a write that was refused for ever, with all others
+ * in the same transaction.)
+ */
 const PARTS_AT_LEAST = 4;
-export const standsInParts = (tasks: number, valueBytes: number): boolean =>
-  tasks > PARTS_AT_LEAST * partSize(valueBytes);
+export const standsInParts = (spec: JobSpec, valueBytes: number): boolean =>
+  spec.tasks > (spec.kind === "array" ? PARTS_AT_LEAST : 1 / 2) * partSize(valueBytes);
 
 export class Part {
   /** Versions of the job at which it last changed, was given a placement, and was stored. */
@@ -46,6 +53,12 @@
     return this.attempt;
   }
 
+  /** All tasks of a gang have one number. */
+  together(attempt: number): number {
+    this.attempt = Math.max(this.attempt, attempt);
+    return attempt;
+  }
+
   get unsaved(): boolean {
     return this.changed > this.saved;
   }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -136,9 +136,8 @@
       return;
     }
     if (job === undefined) {
-      const { tasks } = stored.value.j;
       const bytes = this.valueBytes();
-      const size = standsInParts(tasks, bytes) ? partSize(bytes) : null;
+      const size = standsInParts(stored.value.j, bytes) ? partSize(bytes) : null;
       job = new LiveJob(stored.value, stored.mark, records.partsOf(id), size);
       this.office.cluster.jobs.set(id, job);
       this.adopt(job, stored.value.pl, 0, now);
