--- a/src/core/parts.ts
+++ b/src/core/parts.ts
@@ -24,7 +24,7 @@
  * one time. (A gang of more than fits one value made a write that was refused for ever, with all others
  * in the same transaction.)
  */
-const PARTS_AT_LEAST = 4;
+const PARTS_AT_LEAST = 2;
 export const standsInParts = (spec: JobSpec, valueBytes: number): boolean =>
   spec.tasks > (spec.kind === "array" ? PARTS_AT_LEAST : 1 / 2) * partSize(valueBytes);
 
