--- a/src/core/faults.ts
+++ b/src/core/faults.ts
@@ -70,7 +70,7 @@
     const { reportS } = this.office.settings;
     if (p.timed) job.failedAfterS = Math.max(job.failedAfterS, now - p.runningSince);
     job.avoid(machine.name, now + BEGIN_S / 4);
-    if (job.failedOn.size <= job.spec.tasks) job.failedOn.add(machine.name);
+    if (job.failedOn.size <= few(job)) job.failedOn.add(machine.name);
     if (job.suspect !== null) {
       // Those that were placed before it was suspected tell nothing new.
       if (p.placedAt <= job.suspect.since) return;
--- a/tests/faults.test.ts
+++ b/tests/faults.test.ts
@@ -65,6 +65,17 @@
   assert.ok(tries(120, 240) >= 1 && tries(120, 240) <= 3, `${tries(120, 240)}`);
 });
 
+test("a broken job of one task is found out like one of many", () => {
+  const { h, w } = fleet(8, 8, () => "error");
+  h.submit(spec("single", { team: "maps", class: "tiny" }));
+  h.submit(gang("gang"));
+  w.run(60);
+  for (const id of ["single", "gang"]) {
+    const tries = w.starts.filter((s) => s.job === id).length;
+    assert.ok(tries >= 5 && tries <= 8, `${id} was tried ${tries} times in a minute`);
+  }
+});
+
 test("a broken gang stops nobody, holds no room and goes behind those that have not failed", () => {
   const { h, w } = fleet(0, 4, (job) => (broken(job) ? "error" : 20));
   h.submit(gang("broken", { tasks: 2, oneZone: true }));
