--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -34,6 +34,11 @@
   sentAt = Number.NEGATIVE_INFINITY;
   readonly placedAt: number;
   runningSince = 0;
+  /**
+   * A gang task whose machine has the image long before those of its mates: it starts once one of
+   * these has it too, or after so many seconds.
+   */
+  heldS = 0;
   /** Its start was seen under this holder, so that its run time is known. */
   timed = false;
 
@@ -53,6 +58,15 @@
   get key(): string {
     return taskKey(this.job.spec.id, this.task, this.attempt);
   }
+
+  /** It is held, and none of its mates has the image yet. */
+  waitsForMates(now: number): boolean {
+    if (this.heldS === 0 || now - this.placedAt >= this.heldS) return false;
+    for (const q of this.job.placements.values()) {
+      if (q.state === "waiting" || q.state === "running") return false;
+    }
+    return true;
+  }
 }
 
 export const taskKey = (job: string, task: number, attempt: number): string =>
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -102,7 +102,7 @@
   private mayStart(p: Placement, m: Machine, now: number): boolean {
     if (p.job.cancelled || !p.job.holds(p.task, p.version)) return false;
     if (!m.fenced || p.session !== m.session) return false;
-    if (p.state === "planned") return true;
+    if (p.state === "planned") return !p.waitsForMates(now);
     // Repeating a start whose fate is unknown does no harm: it is the same attempt.
     return (
       p.state === "sent" &&
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -348,10 +348,28 @@
     }
   }
   if (best === null || waitsForImage(job, bestScore, ctx)) return false;
+  const fetches = new Map(best.map((c) => [c.machine, imageWait(c.machine, job.spec)]));
   place(job, tasks, best, ctx);
+  holdBack(job, fetches, ctx);
   return true;
 }
 
+/**
+ * A gang task that has its image waits for the others no longer than `gang_wait_s`, and then all start
+ * anew. Where some machines fetch for a good part of that, those that need not are started when the first of
+ * the others is ready. (A gang of four lost 85 s: one had its image, three fetched for 70 s, 45 are allowed.)
+ */
+function holdBack(job: LiveJob, fetches: ReadonlyMap<Machine, number>, ctx: PlanContext): void {
+  let longest = 0;
+  for (const p of job.placements.values()) {
+    longest = Math.max(longest, fetches.get(p.machine) ?? 0);
+  }
+  if (longest < ctx.settings.gangWaitS / 2) return;
+  for (const p of job.placements.values()) {
+    if ((fetches.get(p.machine) ?? 0) < longest / 2) p.heldS = 2 * longest;
+  }
+}
+
 /**
  * Where many machines hold the image of a GPU gang, some come free every few seconds. It lets others go
  * first for a small part of the time that fetching would take, the less the more machines it needs.
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -116,6 +116,42 @@
   assert.equal(next.placements.size, 1);
 });
 
+test("a gang task that has its image starts when the first that fetches for long is ready", () => {
+  const h = gpuMachines(["m1a", "m2a", "m3a"]);
+  h.scheduler.cluster.machines.get("m2a")!.images.set("img", { at: h.now, gb: 20, ready: true });
+  // 20 GB at half a GB a second: 40 s, and a task waits for the others for 45.
+  h.submit(gpu("gang", { tasks: 3, oneZone: true, imageGb: 20 }));
+  const job = h.scheduler.cluster.jobs.get("gang")!;
+  const on = (m: string) => [...job.placements.values()].find((p) => p.machine.name === m)!.task;
+  const sent = (): string[] =>
+    h.pending
+      .splice(0)
+      .map((o) => o.machine)
+      .sort();
+  assert.deepEqual(sent(), ["m1a", "m3a"]);
+  for (const m of ["m1a", "m3a"]) {
+    h.scheduler.sent(
+      m,
+      [],
+      { kind: "answer", executed: true, report: report(m, "fetching") },
+      h.now,
+    );
+  }
+  function report(m: string, state: "fetching" | "waiting") {
+    return h.makeReport(m, [task("gang", on(m), 1, state)], { type: "big" });
+  }
+  for (let i = 0; i < 12; i++) {
+    for (const m of ["m1a", "m3a"])
+      h.take(h.scheduler.report(report(m, "fetching"), h.now).outputs);
+    h.report("m2a", [], { type: "big" });
+    h.tick(2.5);
+    assert.deepEqual(sent(), [], "neither has its image");
+  }
+  h.take(h.scheduler.report(report("m1a", "waiting"), h.now).outputs);
+  h.tick();
+  assert.deepEqual(sent(), ["m2a"]);
+});
+
 test("after a neglected gang the others go first for a while: part of the room is theirs", () => {
   const h = gpuMachines(["m1a", "m2a", "m3a", "m4a"]);
   const end = (machine: number): void =>
