--- a/src/controller.ts
+++ b/src/controller.ts
@@ -121,18 +121,20 @@
   }
 
   /**
-   * The holder writes most, see `WriteShare`. Each of the others may use a sixth, as submissions come in
-   * turns and rarely to all at once; if they do, some are refused and sent again a moment later.
+   * The holder writes most, see `WriteShare`. The others may use five sixths together, and a third each at
+   * a time, as submissions come in bursts; if the service refuses some, they are sent again a moment later.
    */
   private writeShare(holder: boolean): number {
-    return holder ? this.share.rate(steady()) : this.settings.cluster.stateWriteRps / 6;
+    const { stateWriteRps, nodes } = this.settings.cluster;
+    const others = Math.max(1, Math.min(5, nodes - 1));
+    return holder ? this.share.rate(steady()) : ((5 / 6) * stateWriteRps) / others;
   }
   /**
    * One second's worth of what is a node's own at the least, which the state service allows. (The holder
    * was once left with the burst of another node: too small for any write but the smallest.)
    */
   private writeBurst(holder: boolean): number {
-    return Math.max(4, this.settings.cluster.stateWriteRps * (holder ? OWN : 1 / 6));
+    return Math.max(4, this.settings.cluster.stateWriteRps * (holder ? OWN : 1 / 3));
   }
 
   /** For programs that embed a controller. */
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -1,10 +1,12 @@
 /**
- * How many changes a second the term holder may write. Two thirds are always its own; of what the
- * other nodes leave unused, as seen in what they store for users, it takes most. Where the state
- * service refuses, it goes back to its own for a while. (With two thirds only, the placements of a
- * new holder and thousands of tiny jobs waited for writes beside an idle state service.)
+ * How many changes a second the term holder may write: most of what the other nodes leave, as seen in
+ * what they store for users, and two fifths at the least. Where the state service refuses, it keeps to
+ * two thirds for a while. (With two thirds always, the placements of a new holder and thousands of tiny
+ * jobs waited for writes beside an idle state service; and where many submissions came at once, these
+ * were refused for the holder's sake.)
  */
 export const OWN = 2 / 3;
+const LEAST = 0.4;
 /** Of the whole; the rest covers what is not seen yet, as a submission must not wait. */
 const MOST = 0.85;
 /** What others write may grow by half before it is seen. */
@@ -38,7 +40,8 @@
       this.pending = 0;
       this.at = now;
     }
-    if (now - this.refusedAt < AFTER_REFUSAL_S) return OWN * this.limit;
-    return Math.max(OWN * this.limit, MOST * this.limit - LEAVE * this.others);
+    const most = now - this.refusedAt < AFTER_REFUSAL_S ? OWN : MOST;
+    const left = MOST * this.limit - LEAVE * this.others;
+    return Math.max(LEAST * this.limit, Math.min(most * this.limit, left));
   }
 }
