--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -92,6 +92,11 @@
   state: "booting" | "up" | "returning" | "gone" = "booting";
   /** Last time a message from the worker arrived. */
   lastHeard = Number.NEGATIVE_INFINITY;
+  /**
+   * Last time a report of its own came, or when it was first heard. A machine that answers direct requests
+   * but reaches no controller loses its lease, and with it all that was placed there.
+   */
+  reportedAt = Number.NEGATIVE_INFINITY;
   /** Latest time at which any holder can have renewed the worker's lease. */
   lastRenewed = Number.NEGATIVE_INFINITY;
   /** Time at which the cloud takes it, when told. */
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -77,6 +77,9 @@
   return { usable: usableNow, open, kinds: [...kinds.values()], holding, onGpus };
 }
 
+/** Part of a lease after which a machine whose own reports do not arrive takes no new work. */
+const MUTE = 0.75;
+
 /** A machine takes new work while its reports come in time. */
 export function usable(
   m: Machine,
@@ -92,6 +95,8 @@
     m.takenAt === null &&
     m.deafSince === null &&
     now - m.lastHeard < 1.5 * settings.reportS &&
+    // (Reports go to other nodes while a new holder settles, but not for so long.)
+    now - m.reportedAt < MUTE * settings.leaseS &&
     now >= m.refusedUntil &&
     openTo(m, job)
   );
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -123,6 +123,7 @@
   readonly groups = new Map<number, Marked<StoredGroup>>();
   lead: Marked<StoredLead> | null = null;
   types: readonly MachineType[] | null = null;
+  typesMark = 0;
   epoch: Marked<{ n: number }> = { value: { n: 0 }, mark: 0 };
   /** Every change up to this revision is in. */
   ledger = -1;
@@ -175,8 +176,10 @@
     } else if (key.startsWith("g/")) {
       this.groups.set(Number(name), { value: value as StoredGroup, mark });
     } else if (key === KEY.lead) this.lead = { value: value as StoredLead, mark };
-    else if (key === KEY.types) this.types = value as MachineType[];
-    else if (key === KEY.epoch) this.epoch = { value: value as { n: number }, mark };
+    else if (key === KEY.types) {
+      this.types = value as MachineType[];
+      this.typesMark = mark;
+    } else if (key === KEY.epoch) this.epoch = { value: value as { n: number }, mark };
   }
 
   private remove(key: string): void {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -209,6 +209,8 @@
     }
     const m = this.hear(r, now);
     if (m === null) return { commands: [], outputs: this.office.flush() };
+    if (now - m.reportedAt > this.office.settings.leaseS / 2) this.office.needPlan = true;
+    m.reportedAt = now;
     m.lastRenewed = Math.max(m.lastRenewed, now);
     // This answer tells it the token; it reports again at once if that was news to it.
     if (!m.fenced) m.directAfter = Math.max(m.directAfter, now + this.office.settings.reportS / 4);
@@ -295,6 +297,7 @@
       });
     }
     m.address = r.address;
+    if (m.reportedAt === Number.NEGATIVE_INFINITY) m.reportedAt = now;
     if (!m.stored) this.fleet.groups.add(m);
     if (now - m.lastHeard > 1.5 * this.office.settings.reportS) this.office.needPlan = true;
     m.lastHeard = now;
--- a/tests/left-out.test.ts
+++ b/tests/left-out.test.ts
@@ -28,6 +28,26 @@
   assert.match(h.trace(), /send m2b: start j\/0#2/);
 });
 
+test("a machine that answers direct requests but reaches no controller takes no new work", () => {
+  // Each task placed there ran until the worker's lease was over, and was placed there again.
+  const h = ready();
+  for (let i = 0; i < 16; i++) {
+    h.take(h.scheduler.shown("m1a", h.makeReport("m1a", []), h.now));
+    h.report("m2b", []);
+    h.tick(0.85);
+  }
+  h.submit(spec("j", { cpus: 4 }));
+  h.submit(spec("k", { cpus: 4 }));
+  h.trace();
+  const on = (id: string) =>
+    [...h.scheduler.cluster.jobs.get(id)!.placements.values()].map((p) => p.machine.name);
+  assert.deepEqual([on("j"), on("k")], [["m2b"], []]);
+  // Its own reports are back: it is used at once.
+  h.report("m1a", []);
+  h.tick();
+  assert.deepEqual(on("k"), ["m1a"]);
+});
+
 test("a machine whose lease ended although its reports were answered: its tasks start elsewhere", () => {
   const h = ready();
   h.submit(spec("j"));
