--- a/tests/meetings.test.ts
+++ b/tests/meetings.test.ts
@@ -78,3 +78,262 @@
     },
   );
 }
+
+/** What users may hear one after another: accepted, then an end, and nothing older ever again. */
+const LATER: Record<string, number> = { queued: 0, running: 0, done: 1, cancelled: 1 };
+
+/**
+ * Asks all nodes at once, again and again. A question that was sent after another was answered must not be
+ * answered with something older: `known` is the latest that any answer said before it was sent.
+ */
+class CloseLooks {
+  private known = -1;
+  private end: string | undefined;
+  answered = 0;
+
+  constructor(
+    private readonly site: Site,
+    private readonly id: string,
+  ) {}
+
+  async look(ask: () => ReturnType<Site["question"]>): Promise<void> {
+    const before = this.known;
+    const r = await ask();
+    if (r.status === 503 || r.status === 429) return;
+    this.answered++;
+    assert.notEqual(r.status === 404 && before >= 0, true, "forgotten after it was accepted");
+    if (r.stance === undefined) return;
+    const now = LATER[r.stance]!;
+    assert.ok(now >= before, `${r.stance} after ${this.end}`);
+    if (now === 1) assert.equal(this.end ?? r.stance, r.stance);
+    if (now === 1) this.end = r.stance;
+    this.known = Math.max(this.known, now);
+  }
+
+  async round(times: number, each: (() => ReturnType<Site["question"]>)[] = []): Promise<void> {
+    for (let n = 0; n < times; n++) {
+      const all = this.site.nodes.flatMap((_, i) => [
+        this.look(() => this.site.question(i, this.id)),
+        this.look(() => this.site.submit(i, this.id)),
+      ]);
+      await Promise.all([...all, ...each.map((f) => this.look(f))]);
+    }
+  }
+}
+
+scenario(
+  "2: everybody asks within milliseconds of acceptance, end and cancellation",
+  { taskS: 0.4 },
+  async (site) => {
+    for (const id of ["ends", "called-off", "called-off-at-its-end"]) {
+      const looks = new CloseLooks(site, id);
+      await looks.look(() => site.submit(0, id));
+      await looks.round(3);
+      if (id === "called-off") await looks.round(1, [() => site.cancel(1, id)]);
+      if (id === "called-off-at-its-end") {
+        await until("it runs", () => site.machinesOf(id).size > 0);
+        await until("it ends", () => site.machinesOf(id).size === 0);
+        await looks.round(1, [() => site.cancel(2, id), () => site.cancel(0, id)]);
+      }
+      await until("it is over", async () => {
+        await looks.round(1);
+        return site.state.keys.has(`d/${id}`);
+      });
+      await looks.round(5);
+      assert.ok(looks.answered > 30, `${looks.answered} answers`);
+      assert.equal(site.state.keys.has(`p/${id}`) || site.state.keys.has(`x/${id}`), false);
+    }
+  },
+);
+
+scenario(
+  "3: only the answer of a transaction is lost, while others read what it wrote",
+  {},
+  async (site) => {
+    const lost = site.nodes[0]!.door;
+    const looks = new CloseLooks(site, "job");
+    lost.fate = () => "answer lost";
+    const submitted = looks.look(() => site.submit(0, "job"));
+    await until("it is carried out", () => site.state.keys.has("p/job"));
+    await looks.round(2);
+    await submitted;
+    lost.fate = () => "answered";
+    await until("it runs", () => site.machinesOf("job").size > 0);
+    lost.fate = () => "answer lost";
+    const cancelled = looks.look(() => site.cancel(0, "job"));
+    await until("it is stored", () => site.state.keys.has("x/job") || site.state.keys.has("d/job"));
+    await looks.round(2);
+    await cancelled;
+    lost.fate = () => "answered";
+    await until("it is told", () => toldOnlyWhenGone(site, "job", [0, 1, 2]));
+  },
+);
+
+scenario(
+  "4: transactions are carried out late, after newer ones of the same node",
+  { taskS: 0.3 },
+  async (site) => {
+    const late = site.nodes[0]!.door;
+    const user = (t: unknown) => JSON.stringify(t).includes('"p/late');
+    late.fate = (t) => (user(t) ? "late" : "answered");
+    const first = site.submit(0, "late");
+    await until("it is held up", () => late.held.length > 0);
+    late.fate = () => "answered";
+    // The node sends the same again, and the user comes to another node.
+    assert.ok((await site.submit(1, "late")).status <= 201);
+    assert.ok([200, 201, 503].includes((await first).status));
+    await until("it is done", async () => (await site.question(2, "late")).stance === "done");
+    const starts = site.starts.length;
+    for (const carryOut of late.held.splice(0)) carryOut();
+    await sleep(0.5);
+    assert.equal(site.state.keys.has("p/late"), false, "a late copy brought it back");
+    assert.equal(site.starts.length, starts);
+    for (const i of [0, 1, 2]) assert.equal((await site.question(i, "late")).stance, "done");
+  },
+);
+
+scenario(
+  "5: the leader ends and is back at once, while the records still name it",
+  { taskS: 1.5 },
+  async (site) => {
+    for (const id of ["a", "b"]) await site.running(id);
+    for (let round = 0; round < 3; round++) {
+      const i = site.leader();
+      const epoch = (site.state.keys.get("epoch")!.data as { n: number }).n;
+      await site.end(i);
+      await site.start(i);
+      await until("a new term", () => {
+        const now = (site.state.keys.get("epoch")!.data as { n: number }).n;
+        return now > epoch && site.leader() >= 0;
+      });
+    }
+    for (const id of ["a", "b"]) {
+      for (const i of [0, 1, 2]) {
+        await until(`${id} is done`, async () => {
+          const r = await site.question(i, id);
+          assert.notEqual(r.status, 404);
+          return r.stance === "done";
+        });
+      }
+    }
+  },
+);
+
+scenario(
+  "6: odd requests: nothing is stored of what can't run or lacks a field",
+  { taskS: 0.3 },
+  async (site) => {
+    await site.submit(0, "job");
+    await until("it is done", async () => (await site.question(0, "job")).stance === "done");
+    for (const i of [0, 1, 2]) {
+      const known = { status: 200, stance: "done", retryAfter: undefined };
+      assert.deepEqual(await site.submit(i, "job", { strides: "many" }), known);
+      assert.deepEqual(await site.submit(i, "job", { cpus: 1000 }), known);
+      assert.deepEqual(await site.cancel(i, "job"), known);
+      assert.equal((await site.submit(i, "wide", { cpus: 1000 })).status, 422);
+      for (const field of ["outfit", "strides", "cpus", "tack", "rank"]) {
+        assert.equal((await site.submit(i, `lacks-${field}`, { [field]: undefined })).status, 400);
+      }
+      assert.equal((await site.cancel(i, "nobody")).status, 404);
+    }
+    const stored = [...site.state.keys.keys()].filter((k) => /wide|lacks|nobody/.test(k));
+    assert.deepEqual(stored, []);
+  },
+);
+
+scenario(
+  "6b: while the machine types are unknown nothing is judged",
+  { typesUnknown: true, workers: 0 },
+  async (site) => {
+    for (const i of [0, 1, 2]) {
+      assert.equal((await site.submit(i, "wide", { cpus: 1000 })).status, 503);
+      assert.equal((await site.submit(i, "lacks", { rank: undefined })).status, 400);
+      assert.equal((await site.submit(i, "stranger", { outfit: "nobody" })).status, 422);
+    }
+    assert.deepEqual(
+      [...site.state.keys.keys()].filter((k) => /^p/.test(k)),
+      [],
+    );
+  },
+);
+
+scenario(
+  "7: all controllers are away for longer than a lease: tasks start again, none twice",
+  { taskS: 4 },
+  async (site) => {
+    await site.running("job");
+    for (const i of [0, 1, 2]) await site.end(i);
+    await until("the leases are over", () => site.machinesOf("job").size === 0);
+    const before = site.starts.length;
+    for (const i of [2, 0, 1]) await site.start(i);
+    await until("it is done", async () => (await site.question(1, "job")).stance === "done");
+    assert.ok(site.starts.length > before);
+  },
+);
+
+scenario(
+  "8: one-task jobs come four a second, a quarter cancelled: few changes for each",
+  { taskS: 0.2 },
+  async (site) => {
+    const ids = Array.from({ length: 40 }, (_, n) => `one-${n}`);
+    for (const [n, id] of ids.entries()) {
+      assert.ok((await site.submit(n % 3, id, { strides: 1 })).status <= 201);
+      if (n % 4 === 0) await site.cancel((n + 1) % 3, id);
+      await sleep(0.05);
+    }
+    for (const id of ids) {
+      await until(
+        `${id} is over`,
+        async () => LATER[(await site.question(0, id)).stance ?? "queued"] === 1,
+      );
+    }
+    const per = (kind: string) => (site.state.changes.get(kind) ?? 0) / ids.length;
+    // Submission, placement and removal; the end; a cancellation and its removal.
+    assert.ok(per("p/") <= 3.2, `p/ ${per("p/")}`);
+    assert.equal(per("d/"), 1);
+    assert.ok(per("x/") <= 0.5, `x/ ${per("x/")}`);
+    assert.deepEqual(
+      [...site.state.keys.keys()].filter((k) => /^[pqx]\//.test(k)),
+      [],
+    );
+  },
+);
+
+scenario(
+  "9: workers reach no controller while direct commands reach them: work moves, none twice",
+  { taskS: 6 },
+  async (site) => {
+    await site.running("job", { strides: 8 });
+    const [m] = [...site.machinesOf("job")];
+    const w = site.cloud.workers.get(m!)!;
+    w.mute = true;
+    await until("its lease is over", () => ![...site.on.values()].some((on) => on.has(m!)));
+    const there = site.starts.length;
+    await until("all is done", async () => (await site.question(0, "job")).stance === "done");
+    assert.ok(site.starts.length > there);
+  },
+);
+
+scenario(
+  "10: a report from before reaches every node just as a new leader begins",
+  { taskS: 3 },
+  async (site) => {
+    await site.running("job", { strides: 8 });
+    const workers = [...site.cloud.workers.values()];
+    await until("all have reported", () => workers.every((w) => w.sent.length > 3));
+    const old = workers.flatMap((w) => w.sent.slice(-2));
+    const epoch = (site.state.keys.get("epoch")!.data as { n: number }).n;
+    await site.end(site.leader());
+    await until(
+      "a new term",
+      () => (site.state.keys.get("epoch")!.data as { n: number }).n > epoch,
+    );
+    for (const n of site.nodes) {
+      if (n.controller === null) continue;
+      for (const bytes of old)
+        await n.peer.request("POST", "/checkin", bytes, 2000).catch(() => null);
+    }
+    const asked = site.nodes.findIndex((n) => n.controller !== null);
+    await until("it is done", async () => (await site.question(asked, "job")).stance === "done");
+  },
+);
--- a/tests/site.ts
+++ b/tests/site.ts
@@ -42,6 +42,8 @@
   readonly cancelS: number;
   /** How long every task runs. */
   readonly taskS: number;
+  /** The cloud does not tell the machine types. */
+  readonly typesUnknown: boolean;
 }
 
 const FIGURES: Figures = {
@@ -51,6 +53,7 @@
   leaseS: 3,
   cancelS: 4,
   taskS: 1000,
+  typesUnknown: false,
 };
 
 interface Node {
@@ -142,8 +145,9 @@
       await w.start();
       this.cloud.workers.set(w.name, w);
     }
+    this.cloud.silent = f.typesUnknown;
     for (let i = 0; i < f.nodes; i++) await this.start(i);
-    await until("somebody leads", () => this.leader() >= 0);
+    if (!f.typesUnknown) await until("somebody leads", () => this.leader() >= 0);
   }
 
   private watch(task: string, machine: string, running: boolean): void {
@@ -168,6 +172,12 @@
     await until(`n${i} is healthy`, () => node.healthy());
   }
 
+  /** It ends without a word, as a killed process does: what it sent before may still be under way. */
+  async end(i: number): Promise<void> {
+    await this.nodes[i]!.controller?.stop();
+    this.nodes[i]!.controller = null;
+  }
+
   /** By the state service; -1: nobody. */
   leader(): number {
     const lead = this.state.keys.get("lead")?.data as { member: string } | undefined;
--- a/tests/stand-ins.ts
+++ b/tests/stand-ins.ts
@@ -79,6 +79,8 @@
 export class StateStandIn {
   readonly keys = new Map<string, Entry>();
   private log: LogEntry[] = [];
+  /** Changes that were carried out for users and by the leader, by the first letter of their keys. */
+  readonly changes = new Map<string, number>();
   private leases = new Map<number, { ttl: number; timer: NodeJS.Timeout }>();
   private nextLease = 1;
   private revision = 1;
@@ -113,6 +115,8 @@
     if (removed) this.keys.delete(key);
     else this.keys.set(key, { data, mark: this.revision, tether });
     this.log.push({ key, data, removed, mark: this.revision });
+    const kind = key.slice(0, 2);
+    this.changes.set(kind, (this.changes.get(kind) ?? 0) + 1);
   }
   private wake(): void {
     for (const w of [...this.waiters]) w();
@@ -207,6 +211,8 @@
 /** A cloud whose machines are workers in this process. */
 export class CloudStandIn {
   readonly workers = new Map<string, WorkerStandIn>();
+  /** The machine types are not to be had. */
+  silent = false;
   address = "";
   private server: Server | null = null;
 
@@ -223,6 +229,7 @@
 
   private handle(method: string, url: URL, body: unknown): Answer {
     if (url.pathname === PATH.catalog) {
+      if (this.silent) return { status: 503, body: { error: "trouble" } };
       const type = {
         sku: "small",
         cpus: 4,
