--- a/src/api/intake.ts
+++ b/src/api/intake.ts
@@ -4,13 +4,18 @@
  */
 import type { Bucket } from "../core/bucket.js";
 import type { JobSpec } from "../core/model.js";
-import { ownDependencies, written } from "../core/pipeline.js";
+import { dependenciesOf, written } from "../core/pipeline.js";
 import { KEY, type StoredCancel, type StoredJob } from "../core/records.js";
 import type { Store } from "../state/store.js";
 import type { Change, Condition } from "../wire/state.js";
 
 /** `known`: some key was there already, so a read tells. `unavailable`: nothing is certain. */
 export type IntakeResult = "ok" | "known" | "unavailable";
+/** `never`: it can't be stored, or names a job that was never accepted. */
+export type SubmitResult = IntakeResult | "never";
+
+/** Of a value, what a submission may take; the rest is for its tasks. */
+const FILLED = 0.8;
 
 interface Wish {
   readonly conditions: Condition[];
@@ -32,6 +37,7 @@
     private readonly now: () => number,
     private readonly maxOps: number,
     private readonly maxBytes: number,
+    private readonly valueBytes: number,
     /** How long a wish may wait for its turn, in seconds. */
     private readonly patienceS: number,
   ) {}
@@ -40,24 +46,26 @@
     return this.queue.length;
   }
 
-  submit(spec: JobSpec, wallMs: number): Promise<IntakeResult> {
+  submit(spec: JobSpec, wallMs: number): Promise<SubmitResult> {
     const value: StoredJob = {
       j: spec,
       at: wallMs,
-      r: written(ownDependencies(spec.id)),
+      r: written(dependenciesOf(spec.id, spec.after ?? [])),
       v: 1,
       n: 1,
       o: 0,
       done: "",
       pl: [],
     };
+    const bytes = JSON.stringify(value).length;
+    if (bytes > FILLED * this.valueBytes) return Promise.resolve("never");
     return this.wish(
       [
         { key: KEY.live(spec.id), mark: 0 },
         { key: KEY.final(spec.id), mark: 0 },
       ],
       { op: "put", key: KEY.live(spec.id), value },
-      JSON.stringify(value).length,
+      bytes,
     );
   }
 
--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -12,7 +12,7 @@
   encodeView,
   idIsValid,
 } from "../wire/schema.js";
-import type { IntakeResult } from "./intake.js";
+import type { IntakeResult, SubmitResult } from "./intake.js";
 
 const BODY_LIMIT = 64 * 1024;
 /** Those refused for being too many come back over so many seconds. */
@@ -27,7 +27,8 @@
   read(id: string): Promise<JobView | null | "unavailable">;
   /** Can it ever run? "unknown" while the machine types are not known. */
   judge(spec: JobSpec): "fits" | "never" | "unknown";
-  submit(spec: JobSpec): Promise<IntakeResult>;
+  /** "never": it names a job that was never accepted, or is too large to be stored. */
+  submit(spec: JobSpec): Promise<SubmitResult>;
   /** "ok": the wish to cancel is stored; "known": that, or the job's end, was there already. */
   cancel(id: string): Promise<IntakeResult>;
   /** The job's end, done or cancelled, once it is stored; null if it is not in so many seconds. */
@@ -153,6 +154,7 @@
           encodeView({ id: spec.id, state: "queued", done: 0, running: 0 }, false),
         );
       }
+      if (result === "never") return send(reply, 422, { error: "can never run" });
       if (result === "known") {
         const known = await desk.read(spec.id);
         if (known !== null && known !== "unavailable")
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -60,6 +60,8 @@
   private behindS = 0;
   private heldUp = false;
   private writing = false;
+  /** Changes in a transaction at the most: fewer for a while after one was refused for its size. */
+  private opsLimit: number;
   private stopped = false;
   private readonly graceS: number;
   private readonly keepS: number;
@@ -72,6 +74,7 @@
   ) {
     const c = settings.cluster;
     // Between two holders others may have answered for as long (`between`).
+    this.opsLimit = c.txnOps;
     this.graceS = Math.max(operator.graceRatio * c.leaseS, c.leaseS / 3 + this.contactGapS());
     this.keepS = operator.keepRatio * c.leaseS;
     this.caretaker = new Caretaker(c.leaseS, this.contactGapS(), this.keepS);
@@ -96,7 +99,15 @@
       new Bucket(sentOnRate, sentOnRate / 2),
       this.graceS,
     );
-    this.intake = new Intake(this.store, this.writes, steady, c.txnOps, TXN_BYTES, c.reportS / 3);
+    this.intake = new Intake(
+      this.store,
+      this.writes,
+      steady,
+      c.txnOps,
+      TXN_BYTES,
+      1024 * c.valueKb,
+      c.reportS / 3,
+    );
     this.leadership = new Leadership(this.store, this.follower, this.records, {
       member: settings.member,
       ttlS: Math.max(0.5, operator.termLeaseRatio * c.reportS),
@@ -241,8 +252,24 @@
   async submit(spec: JobSpec) {
     if (!this.stateOk()) return "unavailable" as const;
     // Types that do not exist change nothing, and could make the stored value too large.
-    const known = spec.types?.filter((t) => this.types.some((x) => x.name === t)) ?? null;
-    return this.intake.submit({ ...spec, types: known }, Date.now());
+    const types = spec.types?.filter((t) => this.types.some((x) => x.name === t)) ?? null;
+    const named = await this.named(spec);
+    if (named !== "accepted") return named;
+    return this.intake.submit({ ...spec, types }, Date.now());
+  }
+
+  /**
+   * Were all jobs that must be done before it accepted once? What the copy knows stays known; before it is
+   * said that one never was, the copy holds everything that was stored when this was asked.
+   */
+  private async named(spec: JobSpec): Promise<"accepted" | "never" | "known" | "unavailable"> {
+    const unknown = (): boolean =>
+      spec.after?.some((id) => id === spec.id || this.records.view(id) === null) ?? false;
+    if (!unknown()) return "accepted";
+    if (!(await this.follower.catchUp())) return "unavailable";
+    // A repeated submission is answered with its state, whatever it names by now.
+    if (this.records.view(spec.id) !== null) return "known";
+    return unknown() ? "never" : "accepted";
   }
 
   async cancel(id: string) {
@@ -443,12 +470,13 @@
     }
     this.writes.setRate(this.writeShare(true), this.writeBurst(true));
     const room = Math.floor(this.writes.available(now));
-    if (room < 3 || !scheduler.hasUrgentWrite) return;
+    if (room < Math.max(3, scheduler.roomNeeded) || !scheduler.hasUrgentWrite) return;
     // Progress waits until there is plenty: placements and ends must not wait behind it.
     const w = scheduler.nextWrite(
-      Math.min(room, this.settings.cluster.txnOps),
+      Math.min(room, this.opsLimit),
       TXN_BYTES,
       room < this.writeBurst(true) / 2,
+      now,
     );
     if (w === null) return;
     this.writes.force(w.changes.length, now);
@@ -467,9 +495,18 @@
       if (this.leadership.current !== leading) return;
       this.perform(scheduler.written(w, outcome, revision, this.records, steady()));
     };
-    if (r.kind === "ok") return finish("ok", r.revision);
+    if (r.kind === "ok") {
+      this.opsLimit = Math.min(this.settings.cluster.txnOps, this.opsLimit + 1);
+      return finish("ok", r.revision);
+    }
     if (r.kind === "refused") {
       this.log.debug({ status: r.status }, "write refused");
+      if (r.status === 400) {
+        // Too large, or its lease is over. Smaller ones may pass; one that can't be smaller waits.
+        this.log.warn({ changes: w.changes.length }, "write refused for what it holds");
+        if (w.changes.length > 1) this.opsLimit = Math.max(1, w.changes.length >> 1);
+        else scheduler.setAside(w, steady());
+      }
       this.share.refused(steady());
       finish("refused", 0);
       await sleep(this.settings.cluster.reportS / 30);
@@ -501,7 +538,8 @@
       this.leadership.current?.scheduler.setTypes(types);
       await this.storeTypes(types);
       this.queueTick();
-      await sleep(10 * leaseS);
+      // It must not keep a program alive that embeds a controller and has stopped it.
+      await new Promise((r) => setTimeout(r, 10_000 * leaseS).unref());
     }
   }
 
@@ -509,7 +547,7 @@
   private async storeTypes(types: readonly MachineType[]): Promise<void> {
     const fixed = (t: readonly MachineType[]): string =>
       JSON.stringify(t.map((x) => ({ ...x, spotPrice: 0, price: 0 })));
-    while (!this.follower.loaded) await sleep(0.2);
+    while (!this.follower.loaded && !this.stopped) await sleep(0.2);
     const stored = this.records.types;
     if (stored !== null && fixed(stored) === fixed(types)) return;
     if (JSON.stringify(types).length > this.settings.cluster.valueKb * 1024) return;
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,8 +1,8 @@
 /** The term holder's view of machines, jobs and what may be where. Bookkeeping only. */
 import type { Expression } from "../algebra/expression.js";
-import type { JobSpec, MachineType, Team } from "./model.js";
-import { Part } from "./parts.js";
-import { residuals, written } from "./pipeline.js";
+import { type JobSpec, type MachineType, rankOf, type Team } from "./model.js";
+import { fixedBytes, Part } from "./parts.js";
+import { acceptable, eventName, residuals, written } from "./pipeline.js";
 import { Ranges } from "./ranges.js";
 import type { Marked, StoredJob, StoredPart, StoredPlacements } from "./records.js";
 
@@ -173,13 +173,24 @@
   /** Residuals as stored; parsed only when an event residuates them, so that a takeover is quick. */
   private residualsText: readonly string[];
   private parsed: Expression[] | null = null;
+  /** Its start is not accepted yet, for jobs that must be done before it; null: not looked at since. */
+  private waitsKnown: boolean | null = null;
+  /** Time of day (ms) from which what is promised of it counts, other than its deadline. */
+  private readyAt: number | null = null;
+  /** Its own priority, or the highest of those that need it, directly or through others. */
+  rank: number;
+  /** Latest end (ms of the day) for its own deadline, and for those that wait for it. */
+  dueMs: number | null;
   version: number;
   /** Its own value, and the parts of a large one of which any task was placed. */
   readonly main: Part;
   readonly parts = new Map<number, Part>();
   readonly unsaved = new Set<Part>();
   /** Tasks in a part; null: it stands in one value. */
-  readonly partSize: number | null;
+  partSize: number | null;
+  /** Parts that must be stored together with its own value, which held their tasks before. */
+  recut: Set<Part> | null = null;
+  private cutAt = 0;
   /** Parts that are over. */
   private readonly closed = new Set<number>();
   owner: number;
@@ -188,8 +199,12 @@
   /** Attempts on machines that our records did not hold: they count, and are stopped. */
   readonly strays = new Set<Placement>();
   cancelled = false;
+  /** By its user; otherwise through one that it needs, and no key of its own says so. */
+  calledOff = false;
   started = false;
   backoffUntil = Number.NEGATIVE_INFINITY;
+  /** Its value was refused as it stands: it is not written again before then, nor are others held up. */
+  asideUntil = Number.NEGATIVE_INFINITY;
   /** Machines on which a task of it failed, and until when it keeps off them. */
   private readonly avoided = new Map<string, number>();
   /** Machines on which a task of it ever failed; a few are enough to know. */
@@ -226,6 +241,8 @@
   ) {
     this.spec = stored.j;
     this.submittedAt = stored.at;
+    this.rank = rankOf(stored.j.priority);
+    this.dueMs = this.ownDueMs;
     this.residualsText = stored.r;
     this.version = stored.v;
     this.main = new Part(-1, 0, stored.j.tasks);
@@ -300,6 +317,8 @@
   }
   /** As of this version the part is stored, or gone. */
   stored(part: Part, version: number, mark: number): void {
+    // (A late copy of a write from before says nothing of the parts.)
+    if (part === this.main && version >= this.cutAt) this.recut = null;
     part.mark = Math.max(part.mark, mark);
     part.saved = Math.max(part.saved, version);
     if (!part.unsaved) this.unsaved.delete(part);
@@ -322,7 +341,30 @@
     this.parsed ??= residuals(this.residualsText);
     return this.parsed;
   }
+  get ownDueMs(): number | null {
+    const { deadlineS } = this.spec;
+    return deadlineS === null ? null : this.submittedAt + 1000 * deadlineS;
+  }
+
+  /** By its dependencies: its start would make one of them zero, or insecure, as things stand. */
+  get waits(): boolean {
+    if (this.spec.after === undefined || this.started) return false;
+    this.waitsKnown ??= !acceptable(this.dependencies, eventName("start", this.spec.id));
+    return this.waitsKnown;
+  }
+  /** The last of the jobs that it needs is done, as of this time of day. */
+  ready(wallMs: number): void {
+    this.readyAt ??= wallMs;
+  }
+  get countsFrom(): number {
+    return this.spec.after === undefined ? this.submittedAt : (this.readyAt ?? this.submittedAt);
+  }
+  get isReady(): boolean {
+    return this.spec.after === undefined || this.readyAt !== null;
+  }
+
   set dependencies(next: Expression[]) {
+    this.waitsKnown = null;
     this.parsed = next;
     this.residualsText = written(next);
   }
@@ -394,8 +436,7 @@
    * flight may stand by itself, among those placed and between those done.
    */
   worstBytes(): number {
-    this.fixedBytes ??=
-      400 + JSON.stringify(this.spec).length + JSON.stringify(this.residualsText).length;
+    this.fixedBytes ??= fixedBytes(this.spec) + JSON.stringify(this.residualsText).length;
     const machines = new Set<string>();
     const starts = new Set<string>();
     for (const p of this.placements.values()) {
@@ -413,6 +454,34 @@
   }
   private fixedBytes: number | null = null;
 
+  /**
+   * It stands in one value, stored when a value might be larger, and may not fit one now: it is cut into
+   * parts, which are stored together with its own value, so that at any moment either holds the tasks.
+   */
+  cut(size: number): void {
+    this.partSize = size;
+    this.recut = new Set();
+    for (const n of range(Math.ceil(this.spec.tasks / size))) {
+      const to = Math.min(this.spec.tasks, (n + 1) * size);
+      let done = 0;
+      let placed = false;
+      for (let t = n * size; t < to; t++) {
+        if (this.done.has(t)) done++;
+        if (this.placements.has(t)) placed = true;
+      }
+      if (done === to - n * size && !placed) this.closed.add(n);
+      else if (done > 0 || placed) {
+        const part = this.part(n);
+        part.attempt = Math.max(part.attempt, this.main.attempt);
+        part.changed = ++this.version;
+        this.unsaved.add(part);
+        this.recut.add(part);
+      }
+    }
+    this.touch();
+    this.cutAt = this.version;
+  }
+
   toStored(): StoredJob {
     const own = this.partSize === null;
     const value: StoredJob = {
@@ -568,7 +637,7 @@
     const sums = new Map<string, Usage>();
     const byAge = [...this.jobs.values()].sort((a, b) => a.submittedAt - b.submittedAt);
     for (const job of byAge) {
-      if (job.cancelled || job.complete) continue;
+      if (job.cancelled || job.complete || job.waits) continue;
       const team = this.teams.get(job.spec.team);
       if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) continue;
       const sum = sums.get(team.name) ?? { cpus: 0, gpus: 0 };
--- a/src/core/groups.ts
+++ b/src/core/groups.ts
@@ -15,6 +15,10 @@
   saved = 0;
   /** Machines in it of which no record is stored yet. */
   fresh = 0;
+  /** Groups that took over machines of this one: they are stored before it is written without them. */
+  readonly heirs: Group[] = [];
+  /** Refused as it stands: not written again before then. */
+  asideUntil = Number.NEGATIVE_INFINITY;
 
   constructor(
     readonly n: number,
@@ -38,14 +42,48 @@
   constructor(private readonly maxBytes: number) {}
 
   load(stored: ReadonlyMap<number, Marked<StoredGroup>>): void {
+    const large: Group[] = [];
     for (const [n, { value, mark }] of stored) {
       const g = new Group(n, mark);
       for (const [name, m] of Object.entries(value)) {
-        g.add(name, m);
-        this.of.set(name, g);
+        // In two groups after a cut that was not finished: one is enough.
+        if (this.of.has(name)) g.version++;
+        else {
+          g.add(name, m);
+          this.of.set(name, g);
+        }
       }
       this.groups.push(g);
+      if (g.bytes > 1.5 * this.maxBytes) large.push(g);
     }
+    for (const g of large) this.cut(g);
+  }
+
+  /**
+   * Stored when values might be larger: what is too much goes to new groups. Those are stored first, so
+   * that each machine stands in some group at any moment.
+   */
+  private cut(g: Group): void {
+    const entries = [...g.entries];
+    g.entries.clear();
+    g.bytes = 2;
+    let into = g;
+    for (const [name, m] of entries) {
+      if (into.bytes >= this.maxBytes) {
+        into = this.newGroup();
+        into.version++;
+        g.heirs.push(into);
+      }
+      into.add(name, m);
+      this.of.set(name, into);
+    }
+    g.version++;
+  }
+
+  private newGroup(): Group {
+    const g = new Group(1 + Math.max(0, ...this.groups.map((x) => x.n)), 0);
+    this.groups.push(g);
+    return g;
   }
 
   has(name: string): boolean {
@@ -55,10 +93,7 @@
   add(m: Machine): void {
     if (this.of.has(m.name)) return;
     let g = this.groups.find((x) => x.bytes < this.maxBytes);
-    if (g === undefined) {
-      g = new Group(1 + Math.max(0, ...this.groups.map((x) => x.n)), 0);
-      this.groups.push(g);
-    }
+    g ??= this.newGroup();
     g.add(m.name, [m.address, m.type.name, m.zone, m.spot]);
     g.version++;
     g.fresh++;
@@ -78,7 +113,9 @@
 
   /** Groups to be written: those with new machines first, as work waits for them. */
   dirty(): Group[] {
-    const out = this.groups.filter((g) => g.version > g.saved);
+    const out = this.groups.filter(
+      (g) => g.version > g.saved && g.heirs.every((heir) => heir.saved > 0),
+    );
     return out.sort((a, b) => b.fresh - a.fresh);
   }
 
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -3,6 +3,9 @@
 export type Kind = "array" | "gang" | "service";
 export type Priority = "production" | "high" | "normal" | "low";
 
+const RANK: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
+export const rankOf = (p: Priority): number => RANK[p];
+
 export interface JobSpec {
   readonly id: string;
   readonly class: string;
@@ -24,6 +27,8 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** Jobs that must be done before it starts; left out where there are none. */
+  readonly after?: readonly string[];
 }
 
 export type JobState = "queued" | "running" | "done" | "cancelled";
--- a/src/core/parts.ts
+++ b/src/core/parts.ts
@@ -18,6 +18,11 @@
 export const partSize = (valueBytes: number): number =>
   Math.max(1, Math.floor((FILLED * valueBytes) / TASK_BYTES));
 
+/** A job's value less what is said of its tasks. */
+export const fixedBytes = (spec: JobSpec): number => 400 + JSON.stringify(spec).length;
+/** A task of an array, on a machine with one or two others: its number twice, and its part of the name. */
+const BESIDE_OTHERS = 16;
+
 /**
  * Smaller jobs stand in one value: that is one write for each change instead of several, and an array
  * that is kept to what one value holds still goes on. The tasks of gangs and services must all run at
@@ -25,8 +30,16 @@
  * in the same transaction.)
  */
 const PARTS_AT_LEAST = 2;
-export const standsInParts = (spec: JobSpec, valueBytes: number): boolean =>
-  spec.tasks > (spec.kind === "array" ? PARTS_AT_LEAST : 1 / 2) * partSize(valueBytes);
+export const standsInParts = (spec: JobSpec, valueBytes: number): boolean => {
+  if (spec.kind !== "array") return spec.tasks > partSize(valueBytes) / 2;
+  // With values of 2 KiB an array of sixty went out thirty at a time: half of such a value is its own text.
+  const atOnce = (0.95 * valueBytes - fixedBytes(spec)) / BESIDE_OTHERS;
+  return spec.tasks > Math.min(PARTS_AT_LEAST * partSize(valueBytes), Math.max(1, atOnce));
+};
+
+/** Tasks in a part of a job that is cut while it is under way: its parts go into one transaction. */
+export const cutSize = (spec: JobSpec, valueBytes: number, txnOps: number): number =>
+  Math.max(partSize(valueBytes), Math.ceil(spec.tasks / Math.max(1, txnOps - 1)));
 
 export class Part {
   /** Versions of the job at which it last changed, was given a placement, and was stored. */
--- a/src/core/pipeline.ts
+++ b/src/core/pipeline.ts
@@ -1,8 +1,9 @@
 /**
  * Pipelines: jobs bound by dependencies over their start, done and failed events.
  *
- * A pipeline may hold many jobs. The users' interface carries one job a submission, so what is
- * submitted becomes a pipeline of one job with the dependencies that any job obeys by itself.
+ * The users' interface carries one job a submission, and names those that must be done before it. What is
+ * stored of a job are the residuals of its own dependencies and of those on the jobs it names; an end of one
+ * of these is an event that residuates them.
  */
 import {
   type Attributes,
@@ -19,7 +20,8 @@
 
 /** `start` of job `a` is the event `s:a`. */
 const PREFIX: Record<JobEvent, string> = { start: "s", done: "d", failed: "f" };
-export const eventName = (event: JobEvent, job: string): string => `${PREFIX[event]}:${job}`;
+export const eventName = (event: JobEvent, job: string): string =>
+  `${PREFIX[event]}:${job.replace(/[.+~]/g, (c) => `%${c.charCodeAt(0).toString(16)}`)}`;
 
 /**
  * Start is triggered by the controllers. Done is like commit in the paper: it counts only once the
@@ -40,6 +42,35 @@
   return [parse(`~${d} + ${s}.${d}`), parse(`~${d} + ~${f}`), parse(`~${s} + ~${f} + ${s}.${f}`)];
 }
 
+/** Its start comes after the other's done; and never, if the other fails. */
+export function afterDependencies(job: string, other: string): Expression[] {
+  const s = eventName("start", job);
+  const d = eventName("done", other);
+  const f = eventName("failed", other);
+  return [parse(`~${s} + ${d}.${s}`), parse(`~${s} + ~${f}`)];
+}
+
+/** All that is stored of a job when it is submitted. */
+export const dependenciesOf = (job: string, after: readonly string[]): Expression[] => [
+  ...ownDependencies(job),
+  ...after.flatMap((other) => afterDependencies(job, other)),
+];
+
+/** The other ended: the event, and that its opposite never occurs (done and failed exclude each other). */
+export function otherEnded(
+  dependencies: readonly Expression[],
+  other: string,
+  how: "done" | "failed",
+): Expression[] {
+  const never = how === "done" ? "failed" : "done";
+  const once = occur(dependencies, eventName(how, other));
+  return occur(once, `~${eventName(never, other)}`);
+}
+
+/** Some residual can only be met if the event never occurs: a start so demanded is rejected for good. */
+export const excluded = (dependencies: readonly Expression[], atom: string): boolean =>
+  dependencies.some((d) => d.length > 0 && d.every((t) => t.includes(`~${atom}`)));
+
 export const residuals = (dependencies: readonly string[]): Expression[] => dependencies.map(parse);
 export const written = (dependencies: readonly Expression[]): string[] => dependencies.map(format);
 
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -5,12 +5,10 @@
  */
 import type { Bucket } from "./bucket.js";
 import { type Cluster, type LiveJob, type Machine, Placement, slots } from "./cluster.js";
-import type { ClusterSettings, JobSpec, Priority } from "./model.js";
+import type { ClusterSettings, JobSpec } from "./model.js";
 import type { Part } from "./parts.js";
 
 const EPSILON = 1e-6;
-const RANK: Record<Priority, number> = { production: 0, high: 1, normal: 2, low: 3 };
-export const rankOf = (p: Priority): number => RANK[p];
 
 export interface PlanContext {
   readonly cluster: Cluster;
@@ -161,7 +159,7 @@
   let busy = 0;
   let waiting = 0;
   for (const j of cluster.jobs.values()) {
-    if (j.spec.gpus <= 0) continue;
+    if (j.spec.gpus <= 0 || j.waits) continue;
     images.add(j.spec.image);
     if (!j.cancelled && !j.complete && j.suspect === null) waiting += j.pendingCount;
   }
@@ -297,7 +295,7 @@
         type: c.machine.type.name,
         zone: c.machine.zone,
         class: job.spec.class,
-        waitedS: Math.round((ctx.wallMs - job.submittedAt) / 100) / 10,
+        waitedS: Math.round((ctx.wallMs - job.countsFrom) / 100) / 10,
         imageS: Math.round(c.score * 10) / 10,
       });
     }
@@ -402,7 +400,7 @@
  */
 function tooLateByFetching(job: LiveJob, fetchS: number, ctx: PlanContext): boolean {
   const { spec } = job;
-  const age = (ctx.wallMs - job.submittedAt) / 1000;
+  const age = (ctx.wallMs - job.countsFrom) / 1000;
   const within = job.hold < 20;
   const left: number[] = [];
   for (const o of ctx.settings.objectives) {
@@ -543,7 +541,7 @@
  */
 export function holdOf(job: LiveJob, within: ReadonlySet<string>): number {
   if (job.spec.priority === "production") return 0;
-  return (within.has(job.spec.id) ? 10 : 20) + rankOf(job.spec.priority);
+  return (within.has(job.spec.id) ? 10 : 20) + job.rank;
 }
 
 /** May this placement be stopped to make room for the job? */
@@ -559,7 +557,7 @@
   // of their CPUs, one of them eighteen times in half a minute, each time with its image fetched anew.)
   const takesGpus = p.job.spec.gpus > 0 && job.spec.gpus === 0;
   if (takesGpus && job.hold > 0 && patience(job, ctx) < 0.25) return false;
-  if (rankOf(p.job.spec.priority) > rankOf(job.spec.priority)) return true;
+  if (p.job.rank > job.rank) return true;
   // To give a team its guarantee, what another team runs beyond its own may be stopped; but a gang that
   // waits in line stops none that went before it. (Each was placed again and stopped again, fifty times.)
   if (!job.inTime && !job.neglected) return false;
@@ -638,9 +636,7 @@
     }
     if (slots(job.spec, most, mostGpus, mostMemory) < 1) continue;
     const order = stoppable.sort(
-      (a, b) =>
-        rankOf(b.job.spec.priority) - rankOf(a.job.spec.priority) ||
-        loss(a, ctx.now) - loss(b, ctx.now),
+      (a, b) => b.job.rank - a.job.rank || loss(a, ctx.now) - loss(b, ctx.now),
     );
     for (const p of order) {
       if (slots(job.spec, cpus, gpus, memory) >= 1) break;
@@ -664,6 +660,8 @@
   const waiting: LiveJob[] = [];
   for (const job of ctx.cluster.jobs.values()) {
     if (job.cancelled || job.complete || ctx.now < job.backoffUntil) continue;
+    // What waits for other jobs stands in no line, holds no part of anything and drives no rental.
+    if (job.waits) continue;
     if (job.pendingCount > 0) waiting.push(job);
     else job.waitingSince = null;
   }
@@ -673,7 +671,7 @@
   const promises = ctx.settings.objectives.filter((o) => o.kind === "guarantee");
   const promisedS = Math.max(...promises.map((o) => o.withinS ?? Infinity));
   for (const j of waiting) {
-    const kept = promises.length === 0 || ctx.wallMs - j.submittedAt <= 1000 * promisedS;
+    const kept = promises.length === 0 || ctx.wallMs - j.countsFrom <= 1000 * promisedS;
     j.inTime = j.spec.kind !== "gang" || kept;
   }
   const line = (j: LiveJob): number => {
@@ -682,7 +680,7 @@
     if (starving.has(j)) return Math.min(1, j.hold);
     // Gangs within a guarantee go first while that can still be kept. (In a burst those that were
     // late already went on before all others, in order of arrival, and everybody was late.)
-    return j.inTime || j.hold < 10 ? j.hold : 20 + rankOf(j.spec.priority);
+    return j.inTime || j.hold < 10 ? j.hold : 20 + j.rank;
   };
   return waiting.sort((a, b) => {
     const [ua, ub] = [urgency.get(a)!, urgency.get(b)!];
@@ -705,7 +703,7 @@
 
 /** Part of the users' bound that a job has waited. */
 const patience = (j: LiveJob, ctx: PlanContext): number =>
-  (ctx.wallMs - j.submittedAt) / (1000 * BEGIN_S);
+  (ctx.wallMs - j.countsFrom) / (1000 * BEGIN_S);
 
 /**
  * Of each class, the largest job that has waited for half of that bound without a start. It goes
@@ -771,14 +769,17 @@
   let startAim = false;
   const imageS = fetchS(job, ctx);
   const consider = (afterS: number, start: boolean): void => {
-    const at = job.submittedAt + 1000 * (afterS - imageS);
+    by(job.countsFrom + 1000 * (afterS - imageS), start);
+  };
+  const by = (at: number, start: boolean): void => {
     if (at < ctx.wallMs) return;
     if (start) startAim = true;
     best = Math.min(best, at);
   };
   // A job of which some tasks have started has its start aim behind it.
   const begun = job.done.size > 0 || job.placements.size > 0;
-  if (spec.deadlineS !== null) consider(spec.deadlineS - spec.estimateS, false);
+  // Its own deadline, counted from the submission, or what those that wait for it leave of theirs.
+  if (job.dueMs !== null) by(job.dueMs - 1000 * (spec.estimateS + imageS), false);
   for (const o of ctx.settings.objectives) {
     if (o.withinS === null) continue;
     if (o.kind === "finished" && o.class === spec.class) {
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -9,6 +9,7 @@
  */
 import type { Event, Item } from "../wire/state.js";
 import type { JobSpec, JobView, MachineType } from "./model.js";
+import { eventName, excluded, otherEnded, residuals } from "./pipeline.js";
 import { Ranges } from "./ranges.js";
 
 export const KEY = {
@@ -121,6 +122,14 @@
   /** Cancelled jobs whose end is not stored yet, and whether users may be told. */
   readonly cancels = new Map<string, { told: boolean }>();
   readonly groups = new Map<number, Marked<StoredGroup>>();
+  /** Live jobs that name a job as one that must be done before them, by its name. */
+  private readonly followers = new Map<string, Set<string>>();
+  /**
+   * Live jobs that can never start, since one that they need was cancelled, directly or through others. It
+   * follows from what is stored, so every node says the same from one change on, however many there are;
+   * their own ends are stored by and by.
+   */
+  private readonly failed = new Set<string>();
   lead: Marked<StoredLead> | null = null;
   types: readonly MachineType[] | null = null;
   typesMark = 0;
@@ -135,6 +144,8 @@
     this.parts.clear();
     this.cancels.clear();
     this.groups.clear();
+    this.followers.clear();
+    this.failed.clear();
     this.lead = null;
     this.epoch = { value: { n: 0 }, mark: 0 };
     for (const i of items) this.put(i.key, i.value, i.mark);
@@ -161,9 +172,14 @@
 
   private put(key: string, value: unknown, mark: number): void {
     const name = key.slice(2);
-    if (key.startsWith("p/")) this.live.set(name, { value: value as StoredJob, mark });
-    else if (key.startsWith("d/")) this.finals.set(name, value as StoredFinal);
-    else if (key.startsWith("q/")) {
+    if (key.startsWith("p/")) {
+      const known = this.live.has(name);
+      this.live.set(name, { value: value as StoredJob, mark });
+      if (!known) this.follow(name, value as StoredJob);
+    } else if (key.startsWith("d/")) {
+      this.finals.set(name, value as StoredFinal);
+      if ((value as StoredFinal).s === "cancelled") this.failFollowers(name);
+    } else if (key.startsWith("q/")) {
       const { id, n } = partName(name);
       let of = this.parts.get(id);
       if (of === undefined) {
@@ -184,8 +200,15 @@
 
   private remove(key: string): void {
     const name = key.slice(2);
-    if (key.startsWith("p/")) this.live.delete(name);
-    else if (key.startsWith("d/")) this.finals.delete(name);
+    if (key.startsWith("p/")) {
+      for (const other of this.live.get(name)?.value.j.after ?? []) {
+        const of = this.followers.get(other);
+        of?.delete(name);
+        if (of?.size === 0) this.followers.delete(other);
+      }
+      this.live.delete(name);
+      this.failed.delete(name);
+    } else if (key.startsWith("d/")) this.finals.delete(name);
     else if (key.startsWith("q/")) {
       const { id, n } = partName(name);
       const of = this.parts.get(id);
@@ -196,6 +219,55 @@
     else if (key === KEY.lead) this.lead = null;
   }
 
+  /** Live jobs that name this one. */
+  followersOf(id: string): ReadonlySet<string> {
+    return this.followers.get(id) ?? NOBODY;
+  }
+
+  /** How a job ended, as an event for those that name it; null: it has not, as far as is stored. */
+  endOf(id: string): "done" | "failed" | null {
+    const final = this.finals.get(id);
+    if (final !== undefined) return final.s === "done" ? "done" : "failed";
+    return this.failed.has(id) ? "failed" : null;
+  }
+
+  private follow(id: string, job: StoredJob): void {
+    const after = job.j.after ?? [];
+    for (const other of after) {
+      const of = this.followers.get(other) ?? new Set();
+      this.followers.set(other, of);
+      of.add(id);
+    }
+    if (after.length > 0 && this.cannotStart(id, job)) {
+      this.failed.add(id);
+      this.failFollowers(id);
+    }
+  }
+
+  /** By its dependencies, residuated by the ends that are known of the jobs it names. */
+  private cannotStart(id: string, job: StoredJob): boolean {
+    let dependencies = residuals(job.r);
+    for (const other of job.j.after ?? []) {
+      const end = this.endOf(other);
+      if (end !== null) dependencies = otherEnded(dependencies, other, end);
+    }
+    return excluded(dependencies, eventName("start", id));
+  }
+
+  /** The failed event of one residuates the next: downward, each job once, whatever the depth. */
+  private failFollowers(first: string): void {
+    const next = [first];
+    for (let id = next.pop(); id !== undefined; id = next.pop()) {
+      for (const follower of this.followersOf(id)) {
+        const job = this.live.get(follower);
+        if (job === undefined || this.failed.has(follower)) continue;
+        if (!this.cannotStart(follower, job.value)) continue;
+        this.failed.add(follower);
+        next.push(follower);
+      }
+    }
+  }
+
   /** Stored parts of a large job, by their number. */
   partsOf(id: string): ReadonlyMap<number, Marked<StoredPart>> {
     return this.parts.get(id) ?? NO_PARTS;
@@ -234,11 +306,13 @@
       done += c.done;
       running += c.running;
     }
-    if (this.cancels.get(id)?.told) return { id, state: "cancelled", done, running: 0 };
+    if (this.cancels.get(id)?.told || this.failed.has(id))
+      return { id, state: "cancelled", done, running: 0 };
     return { id, state: running > 0 ? "running" : "queued", done, running };
   }
 }
 
+const NOBODY: ReadonlySet<string> = new Set();
 const NO_PARTS: ReadonlyMap<number, Marked<StoredPart>> = new Map();
 
 function partName(name: string): { id: string; n: number } {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -10,14 +10,15 @@
 import { Dispatch } from "./dispatch.js";
 import { Faults } from "./faults.js";
 import { Fleet } from "./fleet.js";
-import type {
-  ClusterSettings,
-  Command,
-  JobSpec,
-  ListedMachine,
-  MachineType,
-  Report,
-  TaskReport,
+import {
+  type ClusterSettings,
+  type Command,
+  type JobSpec,
+  type ListedMachine,
+  type MachineType,
+  type Report,
+  rankOf,
+  type TaskReport,
 } from "./model.js";
 import {
   Office,
@@ -27,8 +28,8 @@
   serves,
   type WriteOutcome,
 } from "./office.js";
-import { partSize, standsInParts } from "./parts.js";
-import { acceptable, eventName, occur } from "./pipeline.js";
+import { cutSize, partSize, standsInParts } from "./parts.js";
+import { acceptable, eventName, excluded, occur, otherEnded } from "./pipeline.js";
 import {
   careForGpus,
   type GpuCare,
@@ -36,14 +37,13 @@
   makeRoom,
   type PlanContext,
   plan,
-  rankOf,
   survey,
   typeAllowed,
 } from "./planner.js";
 import { Ranges } from "./ranges.js";
 import { placedIn, type Records, type StoredPlacements } from "./records.js";
 import { Watch } from "./watch.js";
-import { composeWrite, hasWrite, type Write } from "./writer.js";
+import { composeWrite, hasWrite, roomNeeded, type Write } from "./writer.js";
 
 export * from "./office.js";
 
@@ -106,6 +106,10 @@
       }
     }
     for (const id of records.live.keys()) this.recordChanged(records, id, now);
+    // Those that a job is needed by may have been read after it.
+    for (const job of this.office.cluster.jobs.values()) {
+      this.inherit(records, job.spec.after ?? []);
+    }
     // They mostly come by themselves within a report interval, and a direct request costs more than
     // a report: those that run replicas are fenced soon, the others when they are overdue.
     const up = [...this.office.cluster.machines.values()];
@@ -137,6 +141,7 @@
     let job = this.office.cluster.jobs.get(id);
     if (stored === undefined) {
       if (job !== undefined && records.finals.has(id)) this.forgetJob(job, now);
+      this.otherEnded(records, id, now);
       return;
     }
     if (job === undefined) {
@@ -148,7 +153,14 @@
       for (const [n, part] of records.partsOf(id)) {
         this.adopt(job, part.value.pl, n * (job.partSize ?? 0), now);
       }
-      this.fleet.noteShape(job.spec);
+      const bound = 0.95 * bytes;
+      if (job.partSize === null && job.started && job.worstBytes() > bound) {
+        job.cut(cutSize(job.spec, bytes, this.office.settings.txnOps));
+      }
+      for (const other of job.spec.after ?? []) this.heed(records, job, other);
+      if (!job.waits) this.fleet.noteShape(job.spec);
+      this.inherit(records, job.spec.after ?? []);
+      if (excluded(job.dependencies, eventName("start", id))) this.cancel(job, now);
       this.office.needPlan = true;
     } else {
       if (stored.mark > job.main.mark) job.stored(job.main, stored.value.v, stored.mark);
@@ -157,7 +169,11 @@
         if (part !== undefined && mark > part.mark) job.stored(part, value.v, mark);
       }
     }
-    if (records.cancels.has(id) && !job.cancelled) this.cancel(job, now);
+    if (records.cancels.has(id)) job.calledOff = true;
+    if (records.cancels.has(id) && !job.cancelled) {
+      this.cancel(job, now);
+      this.inherit(records, job.spec.after ?? []);
+    }
   }
 
   /** `first`: the number of the first task that these stand for. */
@@ -183,6 +199,62 @@
     }
   }
 
+  /** Residuates a job's dependencies by the end of one that it names, if that is stored. */
+  private heed(records: Records, job: LiveJob, other: string): void {
+    const end = records.endOf(other);
+    if (end !== null) job.dependencies = otherEnded(job.dependencies, other, end);
+  }
+
+  /**
+   * The end of a job is stored. It is an event for those that name it: their starts become acceptable, or
+   * are rejected for good, and then their own failed events are heeded by the next.
+   */
+  private otherEnded(records: Records, id: string, now: number): void {
+    const ended = [id];
+    for (let other = ended.pop(); other !== undefined; other = ended.pop()) {
+      for (const follower of records.followersOf(other)) {
+        const job = this.office.cluster.jobs.get(follower);
+        if (job === undefined || job.cancelled || job.started) continue;
+        this.heed(records, job, other);
+        if (excluded(job.dependencies, eventName("start", follower))) {
+          this.cancel(job, now);
+          this.inherit(records, job.spec.after ?? []);
+          ended.push(follower);
+        } else if (!job.waits) {
+          this.fleet.noteShape(job.spec);
+          this.office.needPlan = true;
+        }
+      }
+    }
+  }
+
+  /**
+   * Priority and urgency of a job flow up to all that it needs, directly or through others: each has the
+   * highest priority, and leaves to those after it, along the longest way, the time they will take.
+   */
+  private inherit(records: Records, names: readonly string[]): void {
+    const changed = [...names];
+    for (let id = changed.pop(); id !== undefined; id = changed.pop()) {
+      const job = this.office.cluster.jobs.get(id);
+      if (job === undefined) continue;
+      let rank = rankOf(job.spec.priority);
+      let dueMs = job.ownDueMs ?? Number.POSITIVE_INFINITY;
+      for (const name of records.followersOf(id)) {
+        const next = this.office.cluster.jobs.get(name);
+        if (next === undefined || next.cancelled) continue;
+        rank = Math.min(rank, next.rank);
+        const takesS = next.spec.estimateS + this.office.settings.reportS;
+        if (next.dueMs !== null) dueMs = Math.min(dueMs, next.dueMs - 1000 * takesS);
+      }
+      const due = dueMs === Number.POSITIVE_INFINITY ? null : dueMs;
+      if (rank === job.rank && due === job.dueMs) continue;
+      job.rank = rank;
+      job.dueMs = due;
+      this.office.needPlan = true;
+      changed.push(...(job.spec.after ?? []));
+    }
+  }
+
   private cancel(job: LiveJob, now: number): void {
     job.cancelled = true;
     job.dependencies = occur(job.dependencies, eventName("failed", job.spec.id));
@@ -519,7 +591,10 @@
         m.reservedFor = null;
       }
     }
-    for (const job of this.office.cluster.jobs.values()) job.hold = holdOf(job, within);
+    for (const job of this.office.cluster.jobs.values()) {
+      if (!job.isReady && !job.waits) job.ready(wallMs);
+      job.hold = holdOf(job, within);
+    }
     const gpuSpecs = [...this.fleet.shapes.values()].map((s) => s.spec).filter((s) => s.gpus > 0);
     const care = careForGpus(this.office.cluster, gpuSpecs);
     this.setBulk();
@@ -551,7 +626,7 @@
     care: GpuCare,
     looks: { left: number },
   ): void {
-    const rank = rankOf(job.spec.priority);
+    const { rank } = job;
     if (rank > 1 && !within.has(job.spec.id)) return;
     if (looks.left <= 0 || ctx.now < job.roomAfter) return;
     // Stopping costs work: what is not urgent waits a moment for room to come up by itself.
@@ -645,18 +720,36 @@
   // ---------------------------------------------------------------- writes
 
   /** The next transaction, or null if there is nothing to write. At most `maxOps` changes. */
-  nextWrite(maxOps: number, maxBytes: number, urgentOnly = false): Write | null {
+  nextWrite(maxOps: number, maxBytes: number, urgentOnly = false, now = 0): Write | null {
     if (this.writing || this.bumping) return null;
-    const limits = { maxOps, maxBytes, urgentOnly };
+    const limits = { maxOps, maxBytes, urgentOnly, now };
     const w = composeWrite(this.office.cluster, this.fleet.groups, this.office.epochMark, limits);
     this.writing = w !== null;
     return w;
   }
 
+  /** Changes that the next transaction must have room for. */
+  get roomNeeded(): number {
+    return Math.min(this.office.settings.txnOps, roomNeeded(this.office.cluster));
+  }
+
   get hasUrgentWrite(): boolean {
     return hasWrite(this.office.cluster, this.fleet.groups);
   }
 
+  /**
+   * A write of one value was refused for what it holds. It is tried again after a lease, and what else there
+   * is to write goes on meanwhile.
+   */
+  setAside(w: Write, now: number): void {
+    const until = now + this.office.settings.leaseS;
+    for (const { job } of w.jobs) {
+      job.asideUntil = until;
+      this.office.log("value refused", { job: job.spec.id, changes: w.changes.length });
+    }
+    for (const { group } of w.groups) group.asideUntil = until;
+  }
+
   /**
    * How a write ended. After `conflict` and `unknown` the caller has read the records again and
    * given them to `recordChanged` before it calls this.
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -3,7 +3,6 @@
 import type { Cluster, LiveJob } from "./cluster.js";
 import type { Group, Groups } from "./groups.js";
 import type { Part } from "./parts.js";
-import { rankOf } from "./planner.js";
 import { KEY, type StoredFinal } from "./records.js";
 
 export interface Write {
@@ -27,6 +26,8 @@
 export interface WriteLimits {
   readonly maxOps: number;
   readonly maxBytes: number;
+  /** Values that are set aside until later than this are left out. */
+  readonly now: number;
   /** Leave progress, and what is no more, for when there is plenty. */
   readonly urgentOnly: boolean;
 }
@@ -49,6 +50,7 @@
   };
   let bytes = 200;
   for (const g of groups.dirty()) {
+    if (g.asideUntil > limits.now) continue;
     if (w.changes.length + 1 > maxOps || (g.fresh === 0 && urgentOnly)) break;
     if (bytes + g.bytes + 300 > maxBytes / 2) break;
     bytes += g.bytes + 300;
@@ -59,11 +61,13 @@
     w.groups.push({ group: g, version: g.version, names: [...g.entries.keys()] });
   }
   for (const job of writeOrder(cluster)) {
-    if (urgentOnly && !over(job) && !job.startsWait) continue;
+    if (job.asideUntil > limits.now) continue;
+    if (urgentOnly && !over(job) && !job.startsWait && job.recut === null) continue;
     const left = maxOps - w.changes.length;
     const ending = over(job) && finalOps(job) <= left;
     if (!ending && !job.dirty && !over(job)) continue;
     const piece = ending ? final(job) : changed(job, left, urgentOnly);
+    if (piece === null && job.recut !== null) continue;
     if (piece === null) break;
     const size = 400 + JSON.stringify(piece.changes).length;
     if (bytes + size > maxBytes && w.changes.length > 0) break;
@@ -85,7 +89,7 @@
 }
 
 const stored = (job: LiveJob): Part[] => [...job.parts.values()].filter((p) => p.mark > 0);
-const finalOps = (job: LiveJob): number => (job.cancelled ? 3 : 2) + stored(job).length;
+const finalOps = (job: LiveJob): number => (job.calledOff ? 3 : 2) + stored(job).length;
 
 /** The final record takes the place of all that is stored of the job. */
 function final(job: LiveJob): Piece {
@@ -96,12 +100,13 @@
     { key: KEY.final(id), mark: 0 },
   ];
   // Done and cancelled exclude each other: whichever is stored first rejects the other.
-  if (!job.cancelled) conditions.push({ key: KEY.cancel(id), mark: 0 });
+  // (One that is cancelled through another leaves no key of its user's behind.)
+  if (!job.calledOff) conditions.push({ key: KEY.cancel(id), mark: 0 });
   const changes: Change[] = [
     { op: "put", key: KEY.final(id), value },
     { op: "delete", key: KEY.live(id) },
   ];
-  if (job.cancelled) changes.push({ op: "delete", key: KEY.cancel(id) });
+  if (job.calledOff) changes.push({ op: "delete", key: KEY.cancel(id) });
   for (const p of stored(job)) changes.push({ op: "delete", key: KEY.part(id, p.n) });
   return { conditions, changes, parts: [], closed: [] };
 }
@@ -116,13 +121,16 @@
     parts: [],
     closed: [],
   };
+  // Cut into parts just now: all of them go with its own value, or none.
+  const together = job.recut;
+  if (together !== null && 1 + together.size > room) return null;
   let left = room;
   const open: Part[] = [];
   for (const p of over(job) ? job.parts.values() : job.unsaved) {
     if (p === job.main) continue;
     if (!job.isOver(p)) {
-      if (!urgentOnly || p.startsWait) open.push(p);
-    } else if (p.mark === 0 || left > 1) {
+      if (!urgentOnly || p.startsWait || together?.has(p)) open.push(p);
+    } else if (p.mark === 0 || (together === null && left > 1)) {
       job.close(p);
       piece.closed.push(p);
       if (p.mark === 0) continue;
@@ -137,6 +145,7 @@
     piece.changes.unshift({ op: "put", key: KEY.live(id), value: job.toStored() });
     piece.parts.push(job.main);
   }
+  if (together !== null) open.sort((a, b) => Number(together.has(b)) - Number(together.has(a)));
   for (const p of open) {
     if (left < 1) break;
     left--;
@@ -154,6 +163,7 @@
  */
 function writeOrder(cluster: Cluster): LiveJob[] {
   const level = (j: LiveJob): number => {
+    if (j.recut !== null) return -1;
     if (over(j)) return 1;
     if (!j.startsWait) return 3;
     return j.spec.priority === "production" ? 0 : 2;
@@ -162,12 +172,20 @@
   for (const job of cluster.jobs.values()) {
     if (job.dirty || over(job)) dirty.push({ job, level: level(job) });
   }
-  dirty.sort(
-    (a, b) => a.level - b.level || rankOf(a.job.spec.priority) - rankOf(b.job.spec.priority),
-  );
+  dirty.sort((a, b) => a.level - b.level || a.job.rank - b.job.rank);
   return dirty.map((x) => x.job);
 }
 
+/** Changes that must go into one transaction, at the least. */
+export function roomNeeded(cluster: Cluster): number {
+  let most = 1;
+  for (const job of cluster.jobs.values()) {
+    if (job.recut !== null && job.asideUntil === Number.NEGATIVE_INFINITY)
+      most = Math.max(most, 1 + job.recut.size);
+  }
+  return most;
+}
+
 export function hasWrite(cluster: Cluster, groups: Groups): boolean {
   for (const job of cluster.jobs.values()) if (job.dirty || over(job)) return true;
   return groups.urgent;
--- a/src/leadership.ts
+++ b/src/leadership.ts
@@ -41,8 +41,10 @@
     private readonly options: LeadershipOptions,
   ) {}
 
+  /** As if the process had ended: the term lapses with its lease, and nothing waits for it any more. */
   stop(): void {
     this.stopped = true;
+    this.current = null;
   }
 
   /** After it left office of itself, a node lets the others go first for so long. */
@@ -52,7 +54,7 @@
 
   /** Nobody leads, or it is this node in a former life: take the term, or end that one. */
   seek(): void {
-    if (this.acquiring || this.current !== null) return;
+    if (this.acquiring || this.stopped || this.current !== null) return;
     const { lead } = this.records;
     if (lead === null) {
       if (this.options.now() >= this.standBackUntil) void this.acquire();
@@ -95,6 +97,7 @@
         void this.store.revoke(lease);
         return;
       }
+      if (this.stopped) return;
       const mark = this.records.epoch.mark;
       const term = new Term(member, epoch, mark, lease, ttlS, sentAt, lead.at);
       if (!term.acting(now())) {
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -70,6 +70,7 @@
     restS: finite,
     unsaddleS: finite,
     dueS: finite.nullish(),
+    follows: z.array(id).nullish(),
   })
   .refine((j) => j.cpus > 0 || j.cards > 0 || j.memoryGb > 0)
   // All tasks in one zone and at most half of them in any: only one task can obey both.
@@ -79,6 +80,7 @@
   const r = jobIn.safeParse(body);
   if (!r.success) return null;
   const j = r.data;
+  const after = [...new Set(j.follows ?? [])];
   return {
     id: j.nameId,
     class: j.herd,
@@ -100,6 +102,7 @@
     checkpointS: j.restS,
     saveS: j.unsaddleS,
     deadlineS: j.dueS ?? null,
+    ...(after.length > 0 ? { after } : {}),
   };
 }
 
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -49,6 +49,15 @@
       write_rps: positive,
       value_kb: positive,
       txn_ops: z.number().int().positive(),
+      // What holds from some moment on that nobody announces.
+      next: z
+        .object({
+          rps: positive.nullish(),
+          write_rps: positive.nullish(),
+          value_kb: positive.nullish(),
+          txn_ops: z.number().int().positive().nullish(),
+        })
+        .nullish(),
     }),
     cloud: z.object({ rps: positive, list_lag_s: amount }),
     resources: z.object({ cpu_share: positive, mem_mb: positive, sockets: positive }),
@@ -116,10 +125,11 @@
         gangWaitS: c.workers.gang_wait_s,
         gangPeerS: c.workers.gang_peer_s,
         cancelS: c.workers.cancel_s,
-        stateRps: c.state.rps,
-        stateWriteRps: c.state.write_rps,
-        valueKb: c.state.value_kb,
-        txnOps: c.state.txn_ops,
+        // The smaller of both from the start: nothing need be noticed when the limits change.
+        stateRps: Math.min(c.state.rps, c.state.next?.rps ?? Infinity),
+        stateWriteRps: Math.min(c.state.write_rps, c.state.next?.write_rps ?? Infinity),
+        valueKb: Math.min(c.state.value_kb, c.state.next?.value_kb ?? Infinity),
+        txnOps: Math.min(c.state.txn_ops, c.state.next?.txn_ops ?? Infinity),
         cloudRps: c.cloud.rps,
         listLagS: c.cloud.list_lag_s,
         cpuShare: c.resources.cpu_share,
--- /dev/null
+++ b/tests/limits.test.ts
@@ -0,0 +1,167 @@
+/** The state service lowers its limits: what was stored before is cut, and goes on. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decodeSettings } from "../src/wire/settings.js";
+import { Holder, settingsText, spec, task } from "./helpers.js";
+
+const LOW = { next: { value_kb: 2, txn_ops: 8, write_rps: 21 } };
+
+const read = (state: object) => {
+  const base = JSON.parse(settingsText()) as { settings: { state: object } };
+  const s = { ...base.settings.state, ...state };
+  return decodeSettings(settingsText({ settings: { ...base.settings, state: s } }));
+};
+
+test("of the limits now and those to come the smaller holds; bad ones are named", () => {
+  const s = read(LOW);
+  assert.ok("settings" in s);
+  const { valueKb, txnOps, stateWriteRps, stateRps } = s.settings.cluster;
+  assert.deepEqual([valueKb, txnOps, stateWriteRps, stateRps], [2, 8, 21, 150]);
+  const larger = read({ next: { value_kb: 64 } });
+  assert.ok("settings" in larger);
+  assert.equal(larger.settings.cluster.valueKb, 8);
+  const bad = read({ next: { value_kb: -1 } });
+  assert.ok("faults" in bad);
+  assert.deepEqual(
+    bad.faults.map((f) => f.split(":")[0]),
+    ["settings.state.next.value_kb"],
+  );
+});
+
+/** Machines and a job under way, as a leader under the former limits stored them. */
+function before(tasks: number, machines: number): Holder {
+  const h = new Holder();
+  const all = () => {
+    for (let i = 0; i < machines; i++) h.quietReport(`m-00000${i}a`, []);
+    h.tick(0.5);
+  };
+  for (let i = 0; i < 4; i++) all();
+  h.submit(spec("big", { team: "maps", tasks, cpus: 0.9, memoryGb: 0.1 }));
+  for (let i = 0; i < 4; i++) all();
+  return h;
+}
+const placements = (h: Holder) =>
+  [...h.scheduler.cluster.jobs.get("big")!.placements.values()]
+    .map((p) => `${p.task}#${p.attempt} ${p.machine.name}`)
+    .sort();
+const successor = (old: Holder, epoch: number, state: object) =>
+  new Holder({ records: old.records, epoch, now: old.now + 5, state: state as never });
+
+test("a job in one large value is cut into parts in one transaction, and every task is kept", () => {
+  const old = before(400, 100);
+  const stored = old.records.live.get("big")!;
+  assert.equal(stored.value.c, undefined);
+  assert.ok(JSON.stringify(stored.value).length > 2048, "it would not fit any more");
+  const placed = placements(old);
+  assert.equal(placed.length, 400);
+
+  const h = successor(old, 2, LOW);
+  assert.deepEqual(placements(h), placed);
+  h.tick();
+  assert.ok(h.most.bytes <= 2048 && h.most.bytes > 0, `${h.most.bytes} bytes`);
+  assert.ok(h.most.ops <= 8, `${h.most.ops} changes`);
+  assert.equal(h.records.partsOf("big").size, Math.ceil(400 / h.records.live.get("big")!.value.c!));
+
+  // The former version, back in its place, reads what was cut; so does the next leader.
+  for (const [epoch, state] of [
+    [3, {}],
+    [4, LOW],
+  ] as const) {
+    assert.deepEqual(placements(successor(h, epoch, state)), placed);
+  }
+  // Its tasks end in an order that makes the longest values.
+  const last = successor(h, 5, LOW);
+  last.epoch = 5;
+  const on = new Map<string, number[]>();
+  for (const p of last.scheduler.cluster.jobs.get("big")!.placements.values()) {
+    on.set(p.machine.name, [...(on.get(p.machine.name) ?? []), p.task]);
+  }
+  for (const odd of [1, 0]) {
+    for (const [name, tasks] of on) {
+      const report = tasks.map((t) =>
+        odd === 0 || t % 2 === 1 ? task("big", t, 1, "exited", "done") : task("big", t, 1),
+      );
+      last.report(name, report);
+    }
+    for (let i = 0; i < 20; i++) last.tick();
+  }
+  assert.equal(last.records.finals.get("big")?.s, "done");
+  assert.equal(last.records.partsOf("big").size, 0);
+  assert.ok(last.most.bytes <= 2048 && last.most.ops <= 8, JSON.stringify(last.most));
+});
+
+test("while the cut is not stored, the old value is the truth; a part that ends meanwhile is not lost", () => {
+  const old = before(400, 100);
+  const h = successor(old, 2, LOW);
+  h.epoch = 2;
+  h.storing = false;
+  const first = [...h.scheduler.cluster.jobs.get("big")!.placements.values()].filter(
+    (p) => p.machine.name === "m-000000a",
+  );
+  h.report(
+    "m-000000a",
+    first.map((p) => task("big", p.task, 1, "exited", "done")),
+  );
+  assert.deepEqual(placements(successor(h, 3, {})), placements(old));
+  h.storing = true;
+  h.tick();
+  const next = successor(h, 4, LOW);
+  assert.equal(next.scheduler.cluster.jobs.get("big")!.done.size, first.length);
+  assert.equal(placements(next).length, 400 - first.length);
+});
+
+test("records of machines in large values are moved to small ones, each machine in some at any moment", () => {
+  const old = before(1, 90);
+  const names = (h: Holder) =>
+    new Set([...h.records.groups.values()].flatMap((g) => Object.keys(g.value)));
+  assert.equal(names(old).size, 90);
+  const h = successor(old, 2, LOW);
+  h.storing = false;
+  for (let i = 0; i < 40; i++) {
+    const w = h.scheduler.nextWrite(8, 60_000);
+    if (w === null) break;
+    h.commit(w);
+    assert.equal(names(h).size, 90, `after ${i + 1} writes`);
+  }
+  for (const g of h.records.groups.values()) {
+    assert.ok(JSON.stringify(g.value).length <= 2048, `${JSON.stringify(g.value).length} bytes`);
+  }
+  assert.ok(h.most.bytes <= 2048 && h.most.ops <= 8, JSON.stringify(h.most));
+});
+
+test("a large array and a large gang run to their ends under the low limits", () => {
+  const h = new Holder({ state: LOW });
+  for (let i = 0; i < 10; i++) h.report(`m-00000${i}a`, []);
+  h.submit(spec("array", { team: "maps", tasks: 1500, cpus: 0.02, memoryGb: 0.01 }));
+  h.submit(spec("gang", { team: "maps", kind: "gang", tasks: 100, cpus: 0.1, memoryGb: 0.1 }));
+  const running = new Map<string, Set<string>>();
+  for (let round = 0; round < 120 && h.scheduler.cluster.jobs.size > 0; round++) {
+    for (const o of h.pending.splice(0)) {
+      const on = running.get(o.machine) ?? new Set();
+      running.set(o.machine, on);
+      for (const c of o.commands) {
+        const key = `${c.job} ${c.task} ${c.attempt}`;
+        if (c.op === "start") on.add(key);
+        else if (c.op === "forget") on.delete(key);
+      }
+      const tasks = [...on].map((k) => {
+        const [job, n, attempt] = k.split(" ");
+        return task(job!, Number(n), Number(attempt), "exited", "done");
+      });
+      const report = h.makeReport(o.machine, tasks);
+      const answer = { kind: "answer", executed: true, report } as const;
+      h.take(h.scheduler.sent(o.machine, o.commands, answer, h.now));
+    }
+    for (let i = 0; i < 10; i++) h.quietReport(`m-00000${i}a`, doneOn(running.get(`m-00000${i}a`)));
+    h.tick(0.5);
+  }
+  assert.equal(h.records.finals.get("array")?.s, "done");
+  assert.equal(h.records.finals.get("gang")?.s, "done");
+  assert.ok(h.most.bytes <= 2048 && h.most.ops <= 8, JSON.stringify(h.most));
+});
+
+const doneOn = (on: Set<string> | undefined) =>
+  [...(on ?? [])].map((k) => {
+    const [job, n, attempt] = k.split(" ");
+    return task(job!, Number(n), Number(attempt), "exited", "done");
+  });
--- /dev/null
+++ b/tests/upgrade.test.ts
@@ -0,0 +1,124 @@
+/**
+ * The version in production and this one on each other's data. `traces/production.json` holds what that version
+ * stored (its own leader wrote it); the shapes below are all that it reads and writes.
+ */
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { z } from "zod";
+import type { JobSpec } from "../src/core/model.js";
+import { Records } from "../src/core/records.js";
+import { BeatReader, encodeBeat } from "../src/mesh/codec.js";
+import type { Item } from "../src/wire/state.js";
+import { Holder, spec, task } from "./helpers.js";
+
+const file = new URL("../../../tests/traces/production.json", import.meta.url);
+const trace = (): Item[] => JSON.parse(readFileSync(file, "utf8")) as Item[];
+
+const placements = z.array(z.tuple([z.number(), z.number(), z.array(z.string())]));
+const part = { v: z.number(), n: z.number(), done: z.string(), pl: placements };
+const job = {
+  ...part,
+  at: z.number(),
+  r: z.array(z.string()),
+  o: z.number(),
+  c: z.number().optional(),
+};
+/** Nothing but what the version in production knows: other fields are faults. */
+const PRODUCTION: Record<string, z.ZodType> = {
+  p: z.strictObject({ ...job, j: z.record(z.string(), z.unknown()) }),
+  q: z.strictObject(part),
+  d: z.strictObject({ s: z.enum(["done", "cancelled"]), n: z.number() }),
+  x: z.strictObject({ at: z.number(), told: z.literal(false) }),
+  g: z.record(z.string(), z.tuple([z.string(), z.string(), z.string(), z.boolean()])),
+  epoch: z.strictObject({ n: z.number() }),
+  lead: z.strictObject({
+    member: z.string(),
+    epoch: z.number(),
+    lease: z.number(),
+    at: z.number(),
+  }),
+};
+const shapeOf = (key: string) => PRODUCTION[key.split("/")[0]!]!;
+const specKeys = (items: readonly Item[]) =>
+  new Set(
+    items.flatMap((i) =>
+      i.key.startsWith("p/") ? Object.keys((i.value as { j: JobSpec }).j) : [],
+    ),
+  );
+
+function takeOver(items: Item[], state = {}): Holder {
+  const records = new Records();
+  records.reset(items, 100);
+  return new Holder({ records, epoch: 2, state });
+}
+
+test("the recorded values have the shapes that are held against this version's", () => {
+  const kinds = new Set<string>();
+  for (const i of trace()) {
+    kinds.add(i.key.split("/")[0]!);
+    assert.doesNotThrow(() => shapeOf(i.key).parse(i.value), i.key);
+  }
+  assert.deepEqual([...kinds].sort(), Object.keys(PRODUCTION).sort());
+});
+
+test("a leader of this version takes over from production, under old and new limits", () => {
+  for (const state of [{}, { next: { value_kb: 2, txn_ops: 8 } }]) {
+    const h = takeOver(trace(), state);
+    h.tick();
+    const { jobs } = h.scheduler.cluster;
+    const placed = (id: string) => jobs.get(id)?.placements.size;
+    assert.deepEqual(["web", "gang", "list", "large", "waiting"].map(placed), [2, 2, 6, 659, 0]);
+    assert.equal(jobs.get("gang")!.cancelled, true);
+    assert.deepEqual(
+      ["web", "gang", "list", "over", "nobody"].map((id) => h.records.view(id)?.state),
+      ["running", "running", "running", "done", undefined],
+    );
+  }
+});
+
+test("what this version writes holds nothing that production does not know, until a job follows another", () => {
+  const h = takeOver(trace());
+  h.epoch = 2;
+  const known = specKeys(trace());
+  const machines = [...h.scheduler.cluster.machines.values()].map((m) => m.name);
+  h.submit(spec("new", { team: "maps", tasks: 3 }));
+  for (const m of machines) {
+    const on = [...h.scheduler.cluster.machines.get(m)!.placements.values()];
+    h.quietReport(
+      m,
+      on.map((p) => task(p.job.spec.id, p.task, p.attempt)),
+    );
+  }
+  for (let i = 0; i < 6; i++) h.tick();
+  const items = (): Item[] => {
+    const out: Item[] = [];
+    for (const [id, m] of h.records.live) {
+      out.push({ key: `p/${id}`, ...m });
+      for (const [n, q] of h.records.partsOf(id)) out.push({ key: `q/${id}/${n}`, ...q });
+    }
+    for (const [id, value] of h.records.finals) out.push({ key: `d/${id}`, value, mark: 1 });
+    for (const [n, g] of h.records.groups) out.push({ key: `g/${n}`, ...g });
+    return out;
+  };
+  assert.ok(h.records.live.get("new")!.value.pl.length > 0, "it wrote something");
+  for (const i of items()) shapeOf(i.key).parse(JSON.parse(JSON.stringify(i.value)));
+  assert.deepEqual(specKeys(items()), known);
+  // Residuals too are those that production stores for a job by itself.
+  const r = (id: string) => h.records.live.get(id)!.value.r.join().replaceAll(id, "JOB");
+  const waiting = trace().find((i) => i.key === "p/waiting")!.value as { r: string[] };
+  h.submit(spec("other", { types: ["big"], cpus: 4 }));
+  assert.equal(r("other"), waiting.r.join().replaceAll("waiting", "JOB"));
+  h.submit(spec("follower", { after: ["other"] }));
+  assert.deepEqual(
+    [...specKeys(items())].filter((k) => !known.has(k)),
+    ["after"],
+  );
+});
+
+test("beats between controllers are the bytes that production sends and reads", () => {
+  const beat = { stateOk: true, holds: true, epoch: 258, zone: 1 };
+  const recorded = "5001000a0300000000000001" + "02" + "01";
+  assert.equal(encodeBeat(beat).toString("hex"), recorded);
+  assert.deepEqual(new BeatReader().feed(Buffer.from(recorded, "hex")), [beat]);
+});
