--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,5 +1,6 @@
 /** The term holder's view of machines, jobs and what may be where. Bookkeeping only. */
 import type { Expression } from "../algebra/expression.js";
+import { GangStarts } from "./gang-starts.js";
 import { type JobSpec, type MachineType, rankOf, type Team } from "./model.js";
 import { fixedBytes, Part } from "./parts.js";
 import { acceptable, eventName, residuals, written } from "./pipeline.js";
@@ -567,6 +568,7 @@
   readonly teams = new Map<string, Team>();
   /** Classes of which a neglected job has just gone first, and until when the others do. */
   readonly othersFirst = new Map<string, number>();
+  readonly gangStarts = new GangStarts();
 
   constructor(teams: readonly Team[]) {
     for (const t of teams) this.teams.set(t.name, t);
--- a/src/core/faults.ts
+++ b/src/core/faults.ts
@@ -1,9 +1,8 @@
 /** Faults of machines and of jobs: who is to blame when tasks fail or are slow. */
 import type { LiveJob, Machine, Placement } from "./cluster.js";
 import type { Dispatch } from "./dispatch.js";
-import type { TaskReport } from "./model.js";
+import { BEGIN_S, type TaskReport } from "./model.js";
 import type { Office } from "./office.js";
-import { BEGIN_S } from "./planner.js";
 
 /** A task this many times slower than the middle one of its job speaks against its machine. */
 const SLOW_RATIO = 2.5;
--- /dev/null
+++ b/src/core/gang-starts.ts
@@ -0,0 +1,33 @@
+/** When gangs of each class and size began, over the users' bound on beginning. */
+import { BEGIN_S, type JobSpec } from "./model.js";
+
+interface StartedJob {
+  readonly spec: JobSpec;
+}
+
+/** Names the class and size that a gang belongs to. */
+export const gangSizeKey = (spec: JobSpec): string => `${spec.class} ${spec.tasks}`;
+
+/** Times at which gangs began, by class and size. Not stored: a successor counts anew. */
+export class GangStarts {
+  private readonly startTimes = new Map<string, number[]>();
+  private readonly counted = new WeakSet<StartedJob>();
+
+  /** A job was placed. It counts once, however often it starts again. */
+  began(job: StartedJob, now: number): void {
+    if (job.spec.kind !== "gang" || this.counted.has(job)) return;
+    this.counted.add(job);
+    const key = gangSizeKey(job.spec);
+    const times = this.startTimes.get(key);
+    if (times === undefined) this.startTimes.set(key, [now]);
+    else times.push(now);
+  }
+
+  /** How many of a class and size began lately. */
+  recent(key: string, now: number): number {
+    const times = this.startTimes.get(key);
+    if (times === undefined) return 0;
+    while (times.length > 0 && now - times[0]! > BEGIN_S) times.shift();
+    return times.length;
+  }
+}
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -152,3 +152,6 @@
 
 /** The steady clocks of two machines drift apart by at most this share (the protocol's figure). */
 export const CLOCK_DRIFT = 0.0005;
+
+/** The users' bound, in seconds: every job, the largest too, is to begin within four minutes. */
+export const BEGIN_S = 240;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -30,16 +30,11 @@
 } from "./office.js";
 import { cutSize, partSize, standsInParts } from "./parts.js";
 import { acceptable, eventName, excluded, occur, otherEnded } from "./pipeline.js";
-import {
-  careForGpus,
-  type GpuCare,
-  holdOf,
-  makeRoom,
-  type PlanContext,
-  plan,
-  survey,
-  typeAllowed,
-} from "./planner.js";
+import { type PlanContext, takeSnapshot } from "./planning/context.js";
+import { typeAllowed } from "./planning/eligibility.js";
+import { type GpuReserve, reserveGpus } from "./planning/gpu-reserve.js";
+import { plan } from "./planning/planner.js";
+import { makeRoom, precedenceOf } from "./planning/preemption.js";
 import { Ranges } from "./ranges.js";
 import { placedIn, type Records, type StoredPlacements } from "./records.js";
 import { Watch } from "./watch.js";
@@ -109,6 +104,7 @@
     // Those that a job is needed by may have been read after it.
     for (const job of this.office.cluster.jobs.values()) {
       this.inherit(records, job.spec.after ?? []);
+      if (job.present > 0) this.office.cluster.gangStarts.began(job, now);
     }
     // They mostly come by themselves within a report interval, and a direct request costs more than
     // a report: those that run replicas are fenced soon, the others when they are overdue.
@@ -574,7 +570,7 @@
       wallMs,
       valueBytes: this.valueBytes(),
       bulk: this.bulk,
-      field: survey(this.office.cluster, this.office.settings, now),
+      snapshot: takeSnapshot(this.office.cluster, this.office.settings, now),
       log: (message, fields) => this.office.log(message, fields),
     };
   }
@@ -593,18 +589,18 @@
     }
     for (const job of this.office.cluster.jobs.values()) {
       if (!job.isReady && !job.waits) job.ready(wallMs);
-      job.hold = holdOf(job, within);
+      job.hold = precedenceOf(job, within);
     }
     const gpuSpecs = [...this.fleet.shapes.values()].map((s) => s.spec).filter((s) => s.gpus > 0);
-    const care = careForGpus(this.office.cluster, gpuSpecs);
+    const reserve = reserveGpus(this.office.cluster, gpuSpecs);
     this.setBulk();
     const ctx = this.context(now, wallMs);
-    this.fleet.waiting = plan(ctx, within, care, (job) => this.acceptStart(job));
+    this.fleet.waiting = plan(ctx, within, reserve, (job) => this.acceptStart(job));
     // Nothing is stopped for what waits while most room is not in sight.
     if (this.watch.settling(now)) return;
     // Each look for room goes over all machines: what a pass does not come to, the next one does.
     const looks = { left: LOOKS_FOR_ROOM };
-    for (const job of this.fleet.waiting) this.preempt(job, ctx, within, care, looks);
+    for (const job of this.fleet.waiting) this.preempt(job, ctx, within, reserve, looks);
   }
 
   /** The algebra decides whether the start is accepted; the write that holds it makes it so. */
@@ -623,7 +619,7 @@
     job: LiveJob,
     ctx: PlanContext,
     within: ReadonlySet<string>,
-    care: GpuCare,
+    reserve: GpuReserve,
     looks: { left: number },
   ): void {
     const { rank } = job;
@@ -643,7 +639,7 @@
     }
     for (let i = 0; need > 0 && i < 8 && looks.left > 0; i++) {
       looks.left--;
-      const found = makeRoom(job, ctx, within, care);
+      const found = makeRoom(job, ctx, within, reserve);
       if (found === null) {
         job.roomAfter = ctx.now + this.office.settings.reportS / 4;
         return;
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -407,6 +407,12 @@
     }
   }
 
+  /** A machine stops with all that is on it, and is not heard again. */
+  lose(name: string): void {
+    for (const t of this.on.get(name)?.values() ?? []) this.running.delete(idOf(t.task));
+    this.on.delete(name);
+  }
+
   private takeReturns(): void {
     const h = this.holder;
     for (const line of h.lines.splice(0)) {
