--- /dev/null
+++ b/tests/production-build.ts
@@ -0,0 +1,42 @@
+/** Builds the version in production from the repository's own history, with its own lock file. */
+import { execFileSync } from "node:child_process";
+import { existsSync, mkdtempSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+const REPOSITORY = fileURLToPath(new URL("../../../", import.meta.url));
+
+const run = (command: string, args: readonly string[], cwd: string): string =>
+  execFileSync(command, args, { cwd, encoding: "utf8", stdio: ["ignore", "pipe", "pipe"] });
+
+/** The commit that `deploy/service.toml` names as the version in production. */
+function productionCommit(): string {
+  const text = readFileSync(join(REPOSITORY, "deploy/service.toml"), "utf8");
+  const found = /^production = "([0-9a-f]{40})"$/m.exec(text);
+  if (found === null) throw new Error("deploy/service.toml names no version in production");
+  return found[1]!;
+}
+
+/** Is that commit in the history that is at hand? A copy of the files alone, or a shallow clone, has none. */
+export function productionIsAtHand(): boolean {
+  try {
+    run("git", ["cat-file", "-e", `${productionCommit()}^{commit}`], REPOSITORY);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** Builds it into a temporary folder; returns its program. */
+export function buildProduction(): string {
+  const folder = mkdtempSync(join(tmpdir(), "peatsaddle-production-"));
+  const archive = join(folder, "sources.tar");
+  run("git", ["archive", "--output", archive, productionCommit()], REPOSITORY);
+  run("tar", ["-xf", archive], folder);
+  run("npm", ["ci", "--silent"], folder);
+  run("npm", ["run", "--silent", "build"], folder);
+  const program = join(folder, "target/peatsaddle.js");
+  if (!existsSync(program)) throw new Error("the version in production left no program");
+  return program;
+}
--- a/tests/site.ts
+++ b/tests/site.ts
@@ -137,7 +137,7 @@
         `m-${i}`,
         i % 2 === 0 ? "a" : "b",
         addresses,
-        1000 * f.taskS,
+        () => 1000 * f.taskS,
         600 * f.reportS,
         1000 * f.leaseS,
         (task, machine, running) => this.watch(task, machine, running),
--- a/tests/stand-ins.ts
+++ b/tests/stand-ins.ts
@@ -87,6 +87,10 @@
   private waiters = new Set<() => void>();
   address = "";
   private server: Server | null = null;
+  /** Larger values and transactions are refused. */
+  limits = { valueBytes: Number.POSITIVE_INFINITY, txnOps: Number.POSITIVE_INFINITY };
+  /** Transactions that were refused for what they hold. */
+  tooLarge = 0;
 
   async start(): Promise<void> {
     const s = await serve((m, u, b) => this.handle(m, u, b));
@@ -185,6 +189,12 @@
     return { status: 404, body: {} };
   }
 
+  private exceedsLimits(changes: readonly { data?: unknown }[]): boolean {
+    const { valueBytes, txnOps } = this.limits;
+    if (changes.length > txnOps) return true;
+    return changes.some((c) => c.data !== undefined && JSON.stringify(c.data).length > valueBytes);
+  }
+
   private txn(t: {
     if?: { k: string; mark: number }[];
     then?: { write?: string; remove?: string; data?: unknown; tether?: number }[];
@@ -193,6 +203,10 @@
       if (c.tether !== undefined && c.tether !== null && !this.leases.has(c.tether))
         return { status: 400, body: { error: "no such lease" } };
     }
+    if (this.exceedsLimits(t.then ?? [])) {
+      this.tooLarge++;
+      return { status: 400, body: { error: "too large" } };
+    }
     const failed = (t.if ?? [])
       .filter((c) => (this.keys.get(c.k)?.mark ?? 0) !== c.mark)
       .map((c) => c.k);
@@ -272,7 +286,15 @@
   timer: NodeJS.Timeout | null;
 }
 
-/** Runs every task for a fixed time, and writes down each start. */
+/** Told of a task's start, and of its end with the cause. */
+export type TaskWatch = (
+  task: string,
+  machine: string,
+  on: boolean,
+  cause: TaskReport["cause"],
+) => void;
+
+/** Runs every task for a time that its job sets, and writes down each start. */
 export class WorkerStandIn {
   address = "";
   private server: Server | null = null;
@@ -295,11 +317,11 @@
     readonly name: string,
     readonly zone: string,
     private readonly controllers: { member: string; address: string }[],
-    private readonly taskMs: number,
+    private readonly taskMs: (job: string) => number,
     private readonly reportMs: number,
     private readonly leaseMs: number,
     /** Told of starts and ends, to see that nothing is on two machines. */
-    private readonly watch: (task: string, machine: string, on: boolean) => void,
+    private readonly watch: TaskWatch,
   ) {
     this.leaseUntil = performance.now() + leaseMs;
     this.peers = controllers.map((c) => new Peer(c.address, 4));
@@ -327,7 +349,7 @@
     if (t.timer !== null) clearTimeout(t.timer);
     t.state = "exited";
     t.cause = cause;
-    this.watch(`${t.job}/${t.task}`, this.name, false);
+    this.watch(`${t.job}/${t.task}`, this.name, false, cause);
   }
 
   private report(): Report {
@@ -376,10 +398,10 @@
           saved: false,
           timer: null,
         };
-        fresh.timer = setTimeout(() => this.exit(fresh, "done"), this.taskMs);
+        fresh.timer = setTimeout(() => this.exit(fresh, "done"), this.taskMs(c.job));
         fresh.timer.unref();
         this.tasks.set(key, fresh);
-        this.watch(`${c.job}/${c.task}`, this.name, true);
+        this.watch(`${c.job}/${c.task}`, this.name, true, null);
       }
     }
   }
