--- /dev/null
+++ b/src/core/planning/array-placement.ts
@@ -0,0 +1,57 @@
+/** Placement of arrays and services: as many tasks as there is room for, within what one write can hold. */
+import type { LiveJob } from "../cluster.js";
+import { place, take } from "./assignment.js";
+import { type Candidate, candidates } from "./candidates.js";
+import type { PlanContext } from "./context.js";
+import type { GpuReserve } from "./gpu-reserve.js";
+
+export function placeTasks(job: LiveJob, ctx: PlanContext, reserve: GpuReserve): void {
+  const quota = ctx.cluster.quotaSlots(job.spec);
+  if (quota <= 0 || job.pendingCount === 0 || job.onTrial) return;
+  const on = candidates(job, ctx, reserve);
+  if (on.length === 0) return;
+  const most =
+    job.partSize === null ? fittingValue(job, on, quota, ctx) : fittingParts(job, on, ctx);
+  // One task shows as well as all of them whether the job still fails.
+  const limit = Math.min(quota, most.tasks, job.suspect === null ? quota : 1);
+  const tasks = take(job.pending(), limit);
+  if (tasks.length === 0) return;
+  const placed = place(job, tasks, on.slice(0, most.machines), ctx);
+  if (job.partSize !== null) ctx.bulk.force(placed, ctx.now);
+}
+
+/** A pipeline in one value of bounded length: no more is placed than it can hold at the worst. */
+function fittingValue(job: LiveJob, on: readonly Candidate[], quota: number, ctx: PlanContext) {
+  let room = 0.95 * ctx.valueBytes - job.worstBytes();
+  let tasks = 0;
+  let machines = 0;
+  for (const c of on) {
+    room -= c.machine.name.length + 12;
+    const fit = Math.min(c.fits, Math.floor(room / (2 * job.taskBytes)));
+    if (fit < 1) break;
+    room -= fit * 2 * job.taskBytes;
+    tasks += fit;
+    machines++;
+    if (tasks >= quota) break;
+  }
+  return { tasks, machines };
+}
+
+/**
+ * In parts: any number of tasks fits. But each part is a write, so no more are begun than go into
+ * one transaction beside those of others; and each task's start, report and end takes time, so there are
+ * so many a second. (A guest's 25,000 tasks of six seconds went out at 450 a second: reports of all
+ * machines were late, 28 were taken for dead, and gangs within a guarantee waited for two minutes.)
+ */
+function fittingParts(job: LiveJob, on: readonly Candidate[], ctx: PlanContext) {
+  let parts = Math.floor(ctx.settings.txnOps / 4);
+  for (const part of job.unsaved) if (part.startsWait) parts--;
+  let fits = 0;
+  for (const c of on) fits += c.fits;
+  const rate =
+    job.spec.priority === "production"
+      ? Number.MAX_SAFE_INTEGER
+      : Math.floor(ctx.bulk.available(ctx.now));
+  const tasks = Math.max(0, Math.min(fits, rate, parts * job.partSize!));
+  return { tasks, machines: on.length };
+}
--- /dev/null
+++ b/src/core/planning/context.ts
@@ -0,0 +1,75 @@
+/**
+ * What one planning pass works on: the leader's view of the cluster, the settings, the time, and a snapshot
+ * of the machines that is taken once a pass.
+ */
+import type { Bucket } from "../bucket.js";
+import type { Cluster, Machine } from "../cluster.js";
+import type { ClusterSettings } from "../model.js";
+import { acceptsWork } from "./eligibility.js";
+
+const EPSILON = 1e-6;
+
+export interface PlanContext {
+  readonly cluster: Cluster;
+  readonly settings: ClusterSettings;
+  readonly now: number;
+  /** Time of day in milliseconds, for deadlines. */
+  readonly wallMs: number;
+  /** Largest value that a pipeline may grow to while tasks are still being placed. */
+  readonly valueBytes: number;
+  readonly snapshot: Snapshot;
+  /** How many tasks of large arrays may be placed. */
+  readonly bulk: Bucket;
+  readonly log: (message: string, fields: Record<string, unknown>) => void;
+}
+
+/**
+ * What one pass looks up again and again, found once: with many hundred machines and jobs a look
+ * at every machine for every job is more than a node can do.
+ */
+export interface Snapshot {
+  /** Machines that take work now, by type. */
+  readonly usable: ReadonlyMap<string, readonly Machine[]>;
+  /** Those with anything free as the pass begins. */
+  readonly open: readonly Machine[];
+  /** Every kind of machine there is: type, zone and whether it is a spot machine. */
+  readonly kinds: readonly Machine[];
+  /** Open machines that hold an image. */
+  readonly holding: ReadonlyMap<string, readonly Machine[]>;
+  /** How many usable GPU machines, free or not, hold an image. */
+  readonly onGpus: ReadonlyMap<string, number>;
+}
+
+export function takeSnapshot(cluster: Cluster, settings: ClusterSettings, now: number): Snapshot {
+  const usableNow = new Map<string, Machine[]>();
+  const open: Machine[] = [];
+  const kinds = new Map<string, Machine>();
+  const holding = new Map<string, Machine[]>();
+  const onGpus = new Map<string, number>();
+  for (const m of cluster.machines.values()) {
+    const kind = `${m.type.name} ${m.zone} ${m.spot}`;
+    if (!kinds.has(kind)) kinds.set(kind, m);
+    if (!acceptsWork(m, null, settings, now)) continue;
+    const ofType = usableNow.get(m.type.name);
+    if (ofType === undefined) usableNow.set(m.type.name, [m]);
+    else ofType.push(m);
+    m.weakest = -1;
+    for (const p of m.placements.values()) {
+      if (p.stop === null && p.job.hold > m.weakest) m.weakest = p.job.hold;
+    }
+    if (m.type.gpus > 0) {
+      for (const [image, i] of m.images) {
+        if (i.ready) onGpus.set(image, (onGpus.get(image) ?? 0) + 1);
+      }
+    }
+    if (m.freeCpus < EPSILON || m.freeMemory < EPSILON) continue;
+    open.push(m);
+    for (const [image, i] of m.images) {
+      if (!i.ready) continue;
+      const list = holding.get(image);
+      if (list === undefined) holding.set(image, [m]);
+      else list.push(m);
+    }
+  }
+  return { usable: usableNow, open, kinds: [...kinds.values()], holding, onGpus };
+}
--- /dev/null
+++ b/src/core/planning/eligibility.ts
@@ -0,0 +1,83 @@
+/** Which machines may take a task of a job, and how long its image would take there. */
+import { type LiveJob, type Machine, slots } from "../cluster.js";
+import type { ClusterSettings, JobSpec } from "../model.js";
+import type { PlanContext } from "./context.js";
+
+/** Part of a lease after which a machine whose own reports do not arrive takes no new work. */
+const SILENT_SHARE_OF_LEASE = 0.75;
+
+/** A machine takes new work while its reports come in time. */
+export function acceptsWork(
+  m: Machine,
+  job: LiveJob | null,
+  settings: ClusterSettings,
+  now: number,
+): boolean {
+  return (
+    m.state === "up" &&
+    m.fenced &&
+    m.stored &&
+    m.drain === null &&
+    m.takenAt === null &&
+    m.deafSince === null &&
+    now - m.lastHeard < 1.5 * settings.reportS &&
+    // (Reports go to other nodes while a new holder settles, but not for so long.)
+    now - m.reportedAt < SILENT_SHARE_OF_LEASE * settings.leaseS &&
+    now >= m.refusedUntil &&
+    roomOpenTo(m, job)
+  );
+}
+
+/**
+ * Room that is made or held for another is not open to a job; but what was made for a gang is open to a
+ * gang before it in line, else two that each have half of what they need keep it from each other.
+ */
+export function roomOpenTo(m: Machine, job: LiveJob | null): boolean {
+  const r = m.reservedFor;
+  if (r === null || job === null || r.job === job) return true;
+  return !r.held && r.job.spec.kind === "gang" && job.spec.kind === "gang" && r.job.line > job.line;
+}
+
+export function typeAllowed(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
+  return (
+    (spec.types === null || spec.types.includes(type)) &&
+    (spec.zone === null || spec.zone === zone) &&
+    (spec.spot || !spot)
+  );
+}
+
+/** Seconds until the image would be there. */
+export function imageWaitS(m: Machine, spec: JobSpec): number {
+  const held = m.images.get(spec.image);
+  if (held?.ready) return 0;
+  let others = 0;
+  for (const i of m.images.values()) if (!i.ready) others += i.gb;
+  const own = spec.imageGb / m.type.fetchGbPerS;
+  return held === undefined ? own + others / m.type.fetchGbPerS : own / 2;
+}
+
+/** Tasks that may still start in each zone when at most half may be in one. */
+export function spreadRoom(job: LiveJob): (zone: string) => number {
+  if (!job.spec.spread) return () => Number.MAX_SAFE_INTEGER;
+  const limit = Math.ceil(job.spec.tasks / 2);
+  const inZone = new Map<string, number>();
+  for (const p of job.everyPlacement()) {
+    inZone.set(p.machine.zone, (inZone.get(p.machine.zone) ?? 0) + 1);
+  }
+  return (zone) => limit - (inZone.get(zone) ?? 0);
+}
+
+/** Zone that a job's tasks must share, if any is on a machine now. */
+export function boundZone(job: LiveJob): string | null {
+  if (!job.spec.oneZone) return null;
+  for (const p of job.everyPlacement()) return p.machine.zone;
+  return null;
+}
+
+/** Usable machines of the types of which a whole machine takes a task. */
+export function* machinesThatFit(spec: JobSpec, ctx: PlanContext): Generator<Machine> {
+  for (const machines of ctx.snapshot.usable.values()) {
+    const { cpus, gpus, memoryGb } = machines[0]!.type;
+    if (slots(spec, cpus, gpus, memoryGb) >= 1) yield* machines;
+  }
+}
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -1,7 +1,7 @@
 /** Which machines to rent, ahead of need and for what waits, and which to give back. */
 import { type Cluster, type LiveJob, type Machine, slots } from "./cluster.js";
 import type { ClusterSettings, JobSpec, MachineType } from "./model.js";
-import { typeAllowed } from "./planner.js";
+import { typeAllowed } from "./planning/eligibility.js";
 
 /** Machines of one request at the most, by the protocol. */
 const MOST = 50;
