--- a/src/api/intake.ts
+++ b/src/api/intake.ts
@@ -30,17 +30,21 @@
 export class Intake {
   private queue: Wish[] = [];
   private running = false;
+  /** Submissions in a transaction; fewer after one was refused for what it holds. */
+  private maxOps: number;
 
   constructor(
     private readonly store: Store,
     private readonly writes: Bucket,
     private readonly now: () => number,
-    private readonly maxOps: number,
+    private readonly mostOps: number,
     private readonly maxBytes: number,
     private readonly valueBytes: number,
     /** How long a wish may wait for its turn, in seconds. */
     private readonly patienceS: number,
-  ) {}
+  ) {
+    this.maxOps = mostOps;
+  }
 
   get waiting(): number {
     return this.queue.length;
@@ -136,6 +140,7 @@
       batch.map((w) => w.change),
     );
     if (r.kind === "ok") {
+      this.maxOps = Math.min(this.mostOps, this.maxOps + 1);
       for (const w of batch) w.resolve("ok");
       return;
     }
@@ -150,6 +155,12 @@
       else this.queue.unshift(...again);
       return;
     }
+    if (r.kind === "refused" && r.status === 400 && batch.length > 1) {
+      // Larger than the state service takes by now, though not than the limits that are known.
+      this.maxOps = Math.max(1, batch.length >> 1);
+      this.queue.unshift(...batch);
+      return;
+    }
     if (r.kind === "refused" && r.status !== 429) {
       // The state service takes nothing from us now. Say so at once; the user comes back.
       for (const w of batch) w.resolve("unavailable");
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -478,7 +478,11 @@
       room < this.writeBurst(true) / 2,
       now,
     );
-    if (w === null) return;
+    if (w === null) {
+      // What goes into one transaction may need more changes than were tried since one was refused.
+      this.opsLimit = Math.min(this.settings.cluster.txnOps, this.opsLimit + 1);
+      return;
+    }
     this.writes.force(w.changes.length, now);
     this.writing = true;
     this.log.debug({ ...w.counts, room }, "write");
@@ -505,7 +509,7 @@
         // Too large, or its lease is over. Smaller ones may pass; one that can't be smaller waits.
         this.log.warn({ changes: w.changes.length }, "write refused for what it holds");
         if (w.changes.length > 1) this.opsLimit = Math.max(1, w.changes.length >> 1);
-        else scheduler.setAside(w, steady());
+        else scheduler.refusedAlone(w, steady());
       }
       this.share.refused(steady());
       finish("refused", 0);
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -204,8 +204,6 @@
   calledOff = false;
   started = false;
   backoffUntil = Number.NEGATIVE_INFINITY;
-  /** Its value was refused as it stands: it is not written again before then, nor are others held up. */
-  asideUntil = Number.NEGATIVE_INFINITY;
   /** Machines on which a task of it failed, and until when it keeps off them. */
   private readonly avoided = new Map<string, number>();
   /** Machines on which a task of it ever failed; a few are enough to know. */
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -18,6 +18,9 @@
 const PATIENCE = 4;
 const MOST_PATIENCE = 12;
 
+/** Of a value, what the records of machines in it may take; the rest is for those that join them. */
+const GROUP_FILLED = 0.6;
+
 export class Fleet {
   readonly groups: Groups;
   /** Machines that are proven gone. */
@@ -41,10 +44,15 @@
     private readonly office: Office,
     private readonly dispatch: Dispatch,
   ) {
-    this.groups = new Groups(0.6 * office.settings.valueKb * 1024);
+    this.groups = new Groups(GROUP_FILLED * office.valueLimit.plannedBytes);
     this.lastJobAt = office.startedAt;
   }
 
+  /** The state service takes no larger values than these. */
+  valuesShrink(): void {
+    this.groups.setMaxBytes(GROUP_FILLED * this.office.valueLimit.plannedBytes);
+  }
+
   noteShape(spec: JobSpec): void {
     const s = this.shapes.get(spec.class);
     if (s === undefined) this.shapes.set(spec.class, { spec, running: 0 });
--- a/src/core/groups.ts
+++ b/src/core/groups.ts
@@ -17,8 +17,6 @@
   fresh = 0;
   /** Groups that took over machines of this one: they are stored before it is written without them. */
   readonly heirs: Group[] = [];
-  /** Refused as it stands: not written again before then. */
-  asideUntil = Number.NEGATIVE_INFINITY;
 
   constructor(
     readonly n: number,
@@ -39,7 +37,7 @@
   private readonly groups: Group[] = [];
   private readonly of = new Map<string, Group>();
 
-  constructor(private readonly maxBytes: number) {}
+  constructor(private maxBytes: number) {}
 
   load(stored: ReadonlyMap<number, Marked<StoredGroup>>): void {
     const large: Group[] = [];
@@ -80,6 +78,14 @@
     g.version++;
   }
 
+  /** The state service takes no larger values: groups that may not fit are cut when they are written next. */
+  setMaxBytes(maxBytes: number): void {
+    this.maxBytes = maxBytes;
+    for (const g of [...this.groups]) {
+      if (g.bytes > 1.5 * maxBytes && g.entries.size > 1) this.cut(g);
+    }
+  }
+
   private newGroup(): Group {
     const g = new Group(1 + Math.max(0, ...this.groups.map((x) => x.n)), 0);
     this.groups.push(g);
--- a/src/core/office.ts
+++ b/src/core/office.ts
@@ -3,6 +3,7 @@
  */
 import { Cluster, Machine } from "./cluster.js";
 import type { ClusterSettings, Command, JobSpec, MachineType, Report } from "./model.js";
+import { ValueLimit } from "./value-limit.js";
 
 export type Output =
   | {
@@ -57,6 +58,7 @@
   /** Something changed that a pass over all that waits should see. */
   needPlan = true;
   types = new Map<string, MachineType>();
+  readonly valueLimit: ValueLimit;
   private collected: Output[] = [];
 
   constructor(
@@ -67,6 +69,7 @@
     readonly startedAt: number,
   ) {
     this.cluster = new Cluster(settings.teams);
+    this.valueLimit = new ValueLimit(1024 * settings.valueKb, settings.leaseS);
   }
 
   get typesKnown(): boolean {
--- a/src/core/parts.ts
+++ b/src/core/parts.ts
@@ -37,9 +37,31 @@
   return spec.tasks > Math.min(PARTS_AT_LEAST * partSize(valueBytes), Math.max(1, atOnce));
 };
 
+/**
+ * All tasks of a gang or service are placed at one time, so its parts cannot be kept smaller by placing fewer. They
+ * are smaller from the start, in case the state service takes smaller values than is known.
+ */
+const SHARE_OF_PART = 1 / 4;
+
+/** Tasks in a part of a new job. */
+export const partSizeOf = (spec: JobSpec, valueBytes: number): number => {
+  const size = partSize(valueBytes);
+  return spec.kind === "array" ? size : Math.max(1, Math.floor(SHARE_OF_PART * size));
+};
+
+/**
+ * Tasks that may be under way in a part of an array at one time, if values are to be no larger than this: the rest
+ * is for the tasks that are done, at the worst every other one.
+ */
+export function placeableInPart(size: number, valueBytes: number): number {
+  if (size <= partSize(valueBytes)) return size;
+  const doneBytes = Math.ceil(size / 2) * (String(size).length + 1);
+  return Math.max(1, Math.floor((FILLED * valueBytes - doneBytes) / TASK_BYTES));
+}
+
 /** Tasks in a part of a job that is cut while it is under way: its parts go into one transaction. */
 export const cutSize = (spec: JobSpec, valueBytes: number, txnOps: number): number =>
-  Math.max(partSize(valueBytes), Math.ceil(spec.tasks / Math.max(1, txnOps - 1)));
+  Math.max(partSizeOf(spec, valueBytes), Math.ceil(spec.tasks / Math.max(1, txnOps - 1)));
 
 export class Part {
   /** Versions of the job at which it last changed, was given a placement, and was stored. */
--- a/src/core/planning/array-placement.ts
+++ b/src/core/planning/array-placement.ts
@@ -1,5 +1,6 @@
 /** Placement of arrays and services: as many tasks as there is room for, within what one write can hold. */
 import type { LiveJob } from "../cluster.js";
+import { placeableInPart } from "../parts.js";
 import { place, take } from "./assignment.js";
 import { type Candidate, candidates } from "./candidates.js";
 import type { PlanContext } from "./context.js";
@@ -14,12 +15,34 @@
     job.partSize === null ? fittingValue(job, on, quota, ctx) : fittingParts(job, on, ctx);
   // One task shows as well as all of them whether the job still fails.
   const limit = Math.min(quota, most.tasks, job.suspect === null ? quota : 1);
-  const tasks = take(job.pending(), limit);
+  const tasks = take(placeable(job, ctx), limit);
   if (tasks.length === 0) return;
   const placed = place(job, tasks, on.slice(0, most.machines), ctx);
   if (job.partSize !== null) ctx.bulk.force(placed, ctx.now);
 }
 
+/** Tasks that wait for a place, no more of a part than its value can hold while they are under way. */
+function* placeable(job: LiveJob, ctx: PlanContext): Generator<number> {
+  const size = job.partSize;
+  const most = size === null ? 0 : placeableInPart(size, ctx.valueBytes);
+  if (size === null || most >= size || job.spec.kind !== "array") {
+    yield* job.pending();
+    return;
+  }
+  const underWay = new Map<number, number>();
+  for (const task of job.placements.keys()) count(underWay, Math.floor(task / size));
+  for (const task of job.pending()) {
+    const part = Math.floor(task / size);
+    if ((underWay.get(part) ?? 0) >= most) continue;
+    count(underWay, part);
+    yield task;
+  }
+}
+
+const count = (counts: Map<number, number>, key: number): void => {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+};
+
 /** A pipeline in one value of bounded length: no more is placed than it can hold at the worst. */
 function fittingValue(job: LiveJob, on: readonly Candidate[], quota: number, ctx: PlanContext) {
   let room = 0.95 * ctx.valueBytes - job.worstBytes();
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -28,7 +28,7 @@
   serves,
   type WriteOutcome,
 } from "./office.js";
-import { cutSize, partSize, standsInParts } from "./parts.js";
+import { cutSize, partSizeOf, standsInParts } from "./parts.js";
 import { acceptable, eventName, excluded, occur, otherEnded } from "./pipeline.js";
 import { type PlanContext, takeSnapshot } from "./planning/context.js";
 import { typeAllowed } from "./planning/eligibility.js";
@@ -38,7 +38,7 @@
 import { Ranges } from "./ranges.js";
 import { placedIn, type Records, type StoredPlacements } from "./records.js";
 import { Watch } from "./watch.js";
-import { composeWrite, hasWrite, roomNeeded, type Write } from "./writer.js";
+import { composeWrite, hasWrite, largestValue, roomNeeded, type Write } from "./writer.js";
 
 export * from "./office.js";
 
@@ -142,7 +142,8 @@
     }
     if (job === undefined) {
       const bytes = this.valueBytes();
-      const size = standsInParts(stored.value.j, bytes) ? partSize(bytes) : null;
+      const inParts = standsInParts(stored.value.j, bytes);
+      const size = inParts ? partSizeOf(stored.value.j, bytes) : null;
       job = new LiveJob(stored.value, stored.mark, records.partsOf(id), size);
       this.office.cluster.jobs.set(id, job);
       this.adopt(job, stored.value.pl, 0, now);
@@ -551,7 +552,7 @@
   }
 
   private valueBytes(): number {
-    return this.office.settings.valueKb * 1024;
+    return this.office.valueLimit.plannedBytes;
   }
 
   /** How many tasks of large arrays are placed: what they cost is not to delay others. */
@@ -718,7 +719,8 @@
   /** The next transaction, or null if there is nothing to write. At most `maxOps` changes. */
   nextWrite(maxOps: number, maxBytes: number, urgentOnly = false, now = 0): Write | null {
     if (this.writing || this.bumping) return null;
-    const limits = { maxOps, maxBytes, urgentOnly, now };
+    const allows = (bytes: number): boolean => this.office.valueLimit.allows(bytes, now);
+    const limits = { maxOps, maxBytes, urgentOnly, allows };
     const w = composeWrite(this.office.cluster, this.fleet.groups, this.office.epochMark, limits);
     this.writing = w !== null;
     return w;
@@ -734,16 +736,35 @@
   }
 
   /**
-   * A write of one value was refused for what it holds. It is tried again after a lease, and what else there
-   * is to write goes on meanwhile.
+   * A single value was refused although it keeps the limits that are known. From now on values are planned
+   * smaller. Placements in it that are not stored were never sent: they are given up, so that it shrinks until it is
+   * taken; what is stored already goes on, and what else there is to write goes on meanwhile.
    */
-  setAside(w: Write, now: number): void {
-    const until = now + this.office.settings.leaseS;
-    for (const { job } of w.jobs) {
-      job.asideUntil = until;
-      this.office.log("value refused", { job: job.spec.id, changes: w.changes.length });
+  refusedAlone(w: Write, now: number): void {
+    const bytes = largestValue(w);
+    if (bytes === 0) return;
+    this.office.valueLimit.refused(bytes, now);
+    this.fleet.valuesShrink();
+    this.office.log("value refused", { key: w.changes[0]!.key, bytes });
+    for (const { job } of w.jobs) this.giveUpUnstored(job, now);
+    for (const job of this.office.cluster.jobs.values()) this.cutIfTooLarge(job);
+    this.office.needPlan = true;
+  }
+
+  private giveUpUnstored(job: LiveJob, now: number): void {
+    for (const p of [...job.placements.values()]) {
+      const unsent = p.state === "planned" && !job.holds(p.task, p.version);
+      if (unsent) this.office.cluster.release(p, now);
     }
-    for (const { group } of w.groups) group.asideUntil = until;
+  }
+
+  /** A job in one value that may outgrow what is taken now stands in parts from its next write on. */
+  private cutIfTooLarge(job: LiveJob): void {
+    const bytes = this.valueBytes();
+    if (job.partSize !== null || job.spec.tasks < 2) return;
+    const fits = job.spec.kind === "array" || !standsInParts(job.spec, bytes);
+    if (fits && job.worstBytes() <= 0.95 * bytes) return;
+    job.cut(cutSize(job.spec, bytes, this.office.settings.txnOps));
   }
 
   /**
@@ -759,6 +780,7 @@
   ): Output[] {
     this.writing = false;
     if (outcome === "ok") {
+      if (this.office.valueLimit.reduced) this.office.valueLimit.taken(largestValue(w));
       for (const { job, version, parts, closed } of w.jobs) {
         if (version === null) {
           this.office.log("job over", {
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -26,8 +26,8 @@
 export interface WriteLimits {
   readonly maxOps: number;
   readonly maxBytes: number;
-  /** Values that are set aside until later than this are left out. */
-  readonly now: number;
+  /** May a value of so many bytes be sent, or were smaller ones refused lately? */
+  readonly allows: (bytes: number) => boolean;
   /** Leave progress, and what is no more, for when there is plenty. */
   readonly urgentOnly: boolean;
 }
@@ -50,7 +50,7 @@
   };
   let bytes = 200;
   for (const g of groups.dirty()) {
-    if (g.asideUntil > limits.now) continue;
+    if (!limits.allows(g.bytes)) continue;
     if (w.changes.length + 1 > maxOps || (g.fresh === 0 && urgentOnly)) break;
     if (bytes + g.bytes + 300 > maxBytes / 2) break;
     bytes += g.bytes + 300;
@@ -61,14 +61,13 @@
     w.groups.push({ group: g, version: g.version, names: [...g.entries.keys()] });
   }
   for (const job of writeOrder(cluster)) {
-    if (job.asideUntil > limits.now) continue;
     if (urgentOnly && !over(job) && !job.startsWait && job.recut === null) continue;
     const left = maxOps - w.changes.length;
     const ending = over(job) && finalOps(job) <= left;
     if (!ending && !job.dirty && !over(job)) continue;
-    const piece = ending ? final(job) : changed(job, left, urgentOnly);
-    if (piece === null && job.recut !== null) continue;
-    if (piece === null) break;
+    const piece = ending ? final(job) : changed(job, left, limits);
+    if (piece === "nothing" || (piece === "no room" && job.recut !== null)) continue;
+    if (piece === "no room") break;
     const size = 400 + JSON.stringify(piece.changes).length;
     if (bytes + size > maxBytes && w.changes.length > 0) break;
     bytes += size;
@@ -81,6 +80,15 @@
   return w.changes.length === 0 ? null : w;
 }
 
+const sizeOf = (value: unknown): number => JSON.stringify(value).length;
+
+/** The largest value in a transaction, in bytes; 0 if it only removes keys. */
+export function largestValue(w: Write): number {
+  let most = 0;
+  for (const c of w.changes) if (c.op === "put") most = Math.max(most, sizeOf(c.value));
+  return most;
+}
+
 interface Piece {
   readonly conditions: Condition[];
   readonly changes: Change[];
@@ -111,8 +119,12 @@
   return { conditions, changes, parts: [], closed: [] };
 }
 
-/** What changed of a job: its own value, and its parts, as many as there is room for; null: none. */
-function changed(job: LiveJob, room: number, urgentOnly: boolean): Piece | null {
+/** What changed of a job: its own value, and its parts, as many as there is room for. */
+function changed(
+  job: LiveJob,
+  room: number,
+  { urgentOnly, allows }: WriteLimits,
+): Piece | "no room" | "nothing" {
   const { id } = job.spec;
   const piece: Piece = {
     // Each time a part goes, this mark changes: a late copy of an older write cannot bring it back.
@@ -123,7 +135,7 @@
   };
   // Cut into parts just now: all of them go with its own value, or none.
   const together = job.recut;
-  if (together !== null && 1 + together.size > room) return null;
+  if (together !== null && 1 + together.size > room) return "no room";
   let left = room;
   const open: Part[] = [];
   for (const p of over(job) ? job.parts.values() : job.unsaved) {
@@ -140,20 +152,28 @@
     }
   }
   if (job.main.unsaved) {
-    if (left < 1) return null;
+    if (left < 1) return "no room";
+    const value = job.toStored();
+    if (!allows(sizeOf(value))) return "nothing";
     left--;
-    piece.changes.unshift({ op: "put", key: KEY.live(id), value: job.toStored() });
+    piece.changes.unshift({ op: "put", key: KEY.live(id), value });
     piece.parts.push(job.main);
   }
   if (together !== null) open.sort((a, b) => Number(together.has(b)) - Number(together.has(a)));
   for (const p of open) {
     if (left < 1) break;
+    const value = job.toStoredPart(p);
+    if (!allows(sizeOf(value))) {
+      // What was cut goes whole or not at all.
+      if (together?.has(p)) return "nothing";
+      continue;
+    }
     left--;
     piece.conditions.push({ key: KEY.part(id, p.n), mark: p.mark });
-    piece.changes.push({ op: "put", key: KEY.part(id, p.n), value: job.toStoredPart(p) });
+    piece.changes.push({ op: "put", key: KEY.part(id, p.n), value });
     piece.parts.push(p);
   }
-  return piece.changes.length === 0 ? null : piece;
+  return piece.changes.length === 0 ? "nothing" : piece;
 }
 
 /**
@@ -180,8 +200,7 @@
 export function roomNeeded(cluster: Cluster): number {
   let most = 1;
   for (const job of cluster.jobs.values()) {
-    if (job.recut !== null && job.asideUntil === Number.NEGATIVE_INFINITY)
-      most = Math.max(most, 1 + job.recut.size);
+    if (job.recut !== null) most = Math.max(most, 1 + job.recut.size);
   }
   return most;
 }
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -4,7 +4,7 @@
 import { dependenciesOf, written } from "../src/core/pipeline.js";
 import { KEY, placedIn, Records, type StoredPlacements } from "../src/core/records.js";
 import { type Output, Scheduler } from "../src/core/scheduler.js";
-import type { Write } from "../src/core/writer.js";
+import { largestValue, type Write } from "../src/core/writer.js";
 import { decodeSettings } from "../src/wire/settings.js";
 
 export const jobBody = (change: Record<string, unknown> = {}): Record<string, unknown> => ({
@@ -131,6 +131,11 @@
   /** Machines that are looked at, without an answer yet. */
   readonly looked: string[] = [];
   storing = true;
+  /** What the state service takes, whatever the settings say. */
+  takes = { bytes: Number.POSITIVE_INFINITY, ops: Number.POSITIVE_INFINITY };
+  /** Transactions that it refused. */
+  refusals = 0;
+  private opsLimit = Number.POSITIVE_INFINITY;
   private readonly txnOps: number;
   /** Bytes of the largest value and changes of the largest transaction that it wrote. */
   readonly most = { bytes: 0, ops: 0 };
@@ -230,12 +235,29 @@
   store(): void {
     for (;;) {
       if (!this.storing) return;
-      const w = this.scheduler.nextWrite(this.txnOps, 60_000);
-      if (w === null) return;
-      this.commit(w);
+      const ops = Math.min(this.txnOps, this.opsLimit);
+      const w = this.scheduler.nextWrite(ops, 60_000, false, this.now);
+      if (w === null) {
+        if (ops >= this.txnOps || !this.scheduler.hasUrgentWrite) return;
+        this.opsLimit++;
+        continue;
+      }
+      if (w.changes.length > this.takes.ops || largestValue(w) > this.takes.bytes) this.refuse(w);
+      else {
+        this.opsLimit++;
+        this.commit(w);
+      }
     }
   }
 
+  /** As a controller does: fewer changes, or, of a single one, smaller values. */
+  private refuse(w: Write): void {
+    this.refusals++;
+    if (w.changes.length > 1) this.opsLimit = Math.max(1, w.changes.length >> 1);
+    else this.scheduler.refusedAlone(w, this.now);
+    this.take(this.scheduler.written(w, "refused", 0, this.records, this.now));
+  }
+
   commit(w: Write): void {
     this.revision++;
     this.most.ops = Math.max(this.most.ops, w.changes.length);
--- a/tests/limits.test.ts
+++ b/tests/limits.test.ts
@@ -129,13 +129,10 @@
   assert.ok(h.most.bytes <= 2048 && h.most.ops <= 8, JSON.stringify(h.most));
 });
 
-test("a large array and a large gang run to their ends under the low limits", () => {
-  const h = new Holder({ state: LOW });
-  for (let i = 0; i < 10; i++) h.report(`m-00000${i}a`, []);
-  h.submit(spec("array", { team: "maps", tasks: 1500, cpus: 0.02, memoryGb: 0.01 }));
-  h.submit(spec("gang", { team: "maps", kind: "gang", tasks: 100, cpus: 0.1, memoryGb: 0.1 }));
+/** Machines do as they are told, and every task is done as soon as it starts, until no job is left. */
+function runToEnd(h: Holder, machines = 10, rounds = 120): void {
   const running = new Map<string, Set<string>>();
-  for (let round = 0; round < 120 && h.scheduler.cluster.jobs.size > 0; round++) {
+  for (let round = 0; round < rounds && h.scheduler.cluster.jobs.size > 0; round++) {
     for (const o of h.pending.splice(0)) {
       const on = running.get(o.machine) ?? new Set();
       running.set(o.machine, on);
@@ -144,24 +141,92 @@
         if (c.op === "start") on.add(key);
         else if (c.op === "forget") on.delete(key);
       }
-      const tasks = [...on].map((k) => {
-        const [job, n, attempt] = k.split(" ");
-        return task(job!, Number(n), Number(attempt), "exited", "done");
-      });
-      const report = h.makeReport(o.machine, tasks);
+      const report = h.makeReport(o.machine, doneOn(on));
       const answer = { kind: "answer", executed: true, report } as const;
       h.take(h.scheduler.sent(o.machine, o.commands, answer, h.now));
     }
-    for (let i = 0; i < 10; i++) h.quietReport(`m-00000${i}a`, doneOn(running.get(`m-00000${i}a`)));
+    for (const name of h.looked.splice(0)) {
+      h.take(h.scheduler.shown(name, h.makeReport(name, doneOn(running.get(name))), h.now));
+    }
+    for (let i = 0; i < machines; i++) {
+      h.quietReport(`m-00000${i}a`, doneOn(running.get(`m-00000${i}a`)));
+    }
     h.tick(0.5);
   }
-  assert.equal(h.records.finals.get("array")?.s, "done");
-  assert.equal(h.records.finals.get("gang")?.s, "done");
-  assert.ok(h.most.bytes <= 2048 && h.most.ops <= 8, JSON.stringify(h.most));
-});
+}
 
 const doneOn = (on: Set<string> | undefined) =>
   [...(on ?? [])].map((k) => {
     const [job, n, attempt] = k.split(" ");
     return task(job!, Number(n), Number(attempt), "exited", "done");
   });
+
+const ARRAY = spec("array", { team: "maps", tasks: 1500, cpus: 0.02, memoryGb: 0.01 });
+const GANG = spec("gang", { team: "maps", kind: "gang", tasks: 100, cpus: 0.1, memoryGb: 0.1 });
+
+test("a large array and a large gang run to their ends under the low limits", () => {
+  const h = new Holder({ state: LOW });
+  for (let i = 0; i < 10; i++) h.report(`m-00000${i}a`, []);
+  h.submit(ARRAY);
+  h.submit(GANG);
+  runToEnd(h);
+  assert.equal(h.records.finals.get("array")?.s, "done");
+  assert.equal(h.records.finals.get("gang")?.s, "done");
+  assert.ok(h.most.bytes <= 2048 && h.most.ops <= 8, JSON.stringify(h.most));
+});
+
+test("values and transactions that are refused within the known limits are cut until they are taken", () => {
+  for (const takes of [
+    { bytes: 1024, ops: 8 },
+    { bytes: 1200, ops: 3 },
+  ]) {
+    const h = new Holder({ state: LOW });
+    for (let i = 0; i < 100; i++) h.report(`m-00000${i}a`, []);
+    h.takes = takes;
+    h.most.bytes = 0;
+    h.most.ops = 0;
+    // Each machine takes one task, so that the values name many machines.
+    const wide = { team: "maps", cpus: 3, memoryGb: 0.1 };
+    h.submit(spec("array", { ...wide, tasks: 700 }));
+    h.submit(spec("gang", { ...wide, kind: "gang", tasks: 100 }));
+    // Too small for parts under the known limits, and too large for one value under the real ones.
+    h.submit(spec("middle", { ...wide, kind: "gang", tasks: 30 }));
+    h.submit(spec("list", { ...wide, tasks: 60 }));
+    runToEnd(h, 100, 400);
+    console.log(
+      "DBG",
+      h.refusals,
+      h.most,
+      takes,
+      [...h.scheduler.cluster.jobs.values()].map((j) => [
+        j.spec.id,
+        j.partSize,
+        j.done.size,
+        j.present,
+        j.worstBytes(),
+      ]),
+    );
+    assert.ok(h.refusals > 0, "the limits were met");
+    const ends = ["array", "gang", "middle", "list"].map((id) => h.records.finals.get(id)?.s);
+    assert.deepEqual(ends, ["done", "done", "done", "done"], JSON.stringify(takes));
+    assert.ok(h.most.bytes <= takes.bytes && h.most.ops <= takes.ops, JSON.stringify(h.most));
+  }
+});
+
+test("limits below the known ones are met in a takeover, and while a job is being cut", () => {
+  const old = before(400, 100);
+  const h = successor(old, 2, LOW);
+  h.epoch = 2;
+  h.takes = { bytes: 1000, ops: 8 };
+  const on = new Map<string, number[]>();
+  for (const p of h.scheduler.cluster.jobs.get("big")!.placements.values()) {
+    on.set(p.machine.name, [...(on.get(p.machine.name) ?? []), p.task]);
+  }
+  const ended = (tasks: readonly number[]) =>
+    tasks.map((t) => task("big", t, 1, "exited" as const, "done" as const));
+  for (const [name, tasks] of on) h.quietReport(name, ended(tasks));
+  for (let i = 0; i < 200; i++) h.tick(0.5);
+  assert.ok(h.refusals > 0, "the limits were met");
+  assert.equal(h.records.finals.get("big")?.s, "done");
+  assert.ok(h.most.bytes <= 1000, `${h.most.bytes} bytes`);
+});
