--- a/tests/meetings.test.ts
+++ b/tests/joined-faults.test.ts
@@ -1,26 +1,9 @@
 /**
- * Two troubles at a time, as docs/meetings.md numbers them: whole controllers against the stand-ins.
+ * Two faults at a time, as docs/joined-faults.md numbers them: whole controllers against the stand-ins.
  * The order of events is set by the tests; only what follows from it is waited for.
  */
 import assert from "node:assert/strict";
-import { test } from "node:test";
-import { type Figures, Site, sleep, until } from "./site.js";
-
-const scenario = (
-  name: string,
-  figures: Partial<Figures>,
-  body: (site: Site) => Promise<void>,
-): void => {
-  test(name, { timeout: 120_000 }, async () => {
-    const site = await Site.open(figures);
-    try {
-      await body(site);
-      assert.deepEqual(site.twice, [], "ran_twice");
-    } finally {
-      await site.close();
-    }
-  });
-};
+import { type Site, scenario, sleep, until } from "./site.js";
 
 /** Whoever is told that a job is cancelled finds nothing of it on any machine, then and later. */
 async function toldOnlyWhenGone(
--- a/tests/pipelines.test.ts
+++ b/tests/pipelines.test.ts
@@ -195,3 +195,29 @@
   assert.equal(h.scheduler.cluster.jobs.size, 0);
   assert.equal(/start [bc]/.test(h.trace()), false);
 });
+
+test("a thousand that need one: their ends are stored many at a time, and none of them starts", () => {
+  const h = ready();
+  submit(h, "first");
+  h.answer([task("first", 0, 1)]);
+  h.storing = false;
+  const ids = Array.from({ length: 1000 }, (_, i) => `wide-${i}`);
+  for (const [i, id] of ids.entries()) {
+    submit(h, id, { after: ["first"] });
+    if (i % 10 !== 0) continue;
+    h.quietReport("m1a", [task("first", 0, 1)]);
+    h.quietReport("m2b", []);
+  }
+  h.storing = true;
+  h.cancel("first");
+  h.answer([task("first", 0, 1, "exited", "stopped")]);
+  h.follow("first");
+  assert.ok(
+    ids.every((id) => h.records.view(id)?.state === "cancelled"),
+    "with the first one's end, on every node",
+  );
+  for (let i = 0; i < 10; i++) h.tick();
+  assert.equal(h.scheduler.cluster.jobs.size, 0);
+  assert.ok(ids.every((id) => h.records.finals.get(id)?.s === "cancelled"));
+  assert.doesNotMatch(h.trace(), /start wide/);
+});
--- a/tests/site.ts
+++ b/tests/site.ts
@@ -1,6 +1,7 @@
 /** Whole controllers in this process, against the stand-ins: what a scenario needs, and what it saw. */
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
+import { test } from "node:test";
 import { pino } from "pino";
 import { DEFAULT_OPERATOR } from "../src/config/operator.js";
 import { Controller } from "../src/controller.js";
@@ -230,3 +231,20 @@
     this.state.stop();
   }
 }
+
+/** A test of whole controllers: whatever happens in it, no task may be on two machines. */
+export function scenario(
+  name: string,
+  figures: Partial<Figures>,
+  body: (site: Site) => Promise<void>,
+): void {
+  test(name, { timeout: 120_000 }, async () => {
+    const site = await Site.open(figures);
+    try {
+      await body(site);
+      assert.deepEqual(site.twice, [], "ran_twice");
+    } finally {
+      await site.close();
+    }
+  });
+}
