--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -106,6 +106,7 @@
       this.inherit(records, job.spec.after ?? []);
       if (job.present > 0) this.office.cluster.gangStarts.began(job, now);
     }
+    this.loseEarlierSessions(now);
     // They mostly come by themselves within a report interval, and a direct request costs more than
     // a report: those that run replicas are fenced soon, the others when they are overdue.
     const up = [...this.office.cluster.machines.values()];
@@ -117,6 +118,19 @@
     return this.office.flush();
   }
 
+  /**
+   * The records may name tasks of a machine's earlier session beside those of a later one, if the former leader
+   * ended before it had stored that the earlier ones are gone. A later session proves that they are. (Nine jobs of a
+   * day waited to its end for such tasks: nothing that the machine reports speaks of them.)
+   */
+  private loseEarlierSessions(now: number): void {
+    for (const m of this.office.cluster.machines.values()) {
+      for (const p of [...m.placements.values()]) {
+        if (p.session < m.session) this.dispatch.lost(p, "earlier session", now);
+      }
+    }
+  }
+
   private firstContact(m: Machine): void {
     // Until it is heard, count as if the former holder had renewed its lease as late as it may.
     m.lastHeard = this.office.startedAt;
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -1,6 +1,8 @@
 /** One trace for each rule of the protocol, with the failure that could break it. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { dependenciesOf, written } from "../src/core/pipeline.js";
+import { KEY, Records } from "../src/core/records.js";
 import { Holder, ready, spec, task } from "./helpers.js";
 
 test("ran_twice: a start without an answer is repeated where it was, not elsewhere", () => {
@@ -354,3 +356,32 @@
   assert.ok(done > 300, `${done} done`);
   assert.ok(largest < 8 * 1024, `value of ${largest} bytes`);
 });
+
+test("a successor gives up a task of an earlier session although the records name the next one too", () => {
+  // The former leader saw the new session and placed another job under it; what it knew of the first job's end
+  // was not stored when it ended.
+  const records = new Records();
+  const stored = (id: string, session: number) => ({
+    j: spec(id),
+    at: 0,
+    r: written(dependenciesOf(id, [])),
+    v: 2,
+    n: 2,
+    o: 1,
+    done: "",
+    pl: [[1, session, ["m1a", "0"]]],
+  });
+  const items = [
+    { key: KEY.live("early"), value: stored("early", 1), mark: 5 },
+    { key: KEY.live("late"), value: stored("late", 2), mark: 6 },
+    { key: KEY.group(1), value: { m1a: ["m1a:9000", "small", "a", false] }, mark: 7 },
+  ];
+  records.reset(items, 10);
+  const h = new Holder({ records, epoch: 2 });
+  h.epoch = 2;
+  h.report("m1a", [task("late", 0, 1)], { session: 2 });
+  for (let i = 0; i < 4; i++) h.report("m1a", [task("late", 0, 1)], { session: 2 });
+  const early = h.scheduler.cluster.jobs.get("early")!;
+  const [placement] = [...early.placements.values()];
+  assert.deepEqual([placement?.session, placement?.attempt], [2, 2], "it is placed again");
+});
