--- a/src/core/deputy.ts
+++ b/src/core/deputy.ts
@@ -6,9 +6,9 @@
  */
 import type { Bucket } from "./bucket.js";
 import type { Caretaker } from "./caretaker.js";
+import { isKept } from "./leader-context.js";
 import type { ClusterSettings, Report } from "./model.js";
 import type { Records } from "./records.js";
-import { isKept } from "./scheduler.js";
 
 /** Whom the node is in contact with. */
 export interface Contact {
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -1,8 +1,8 @@
 /** Starts, stops and looks: what goes to each worker, and when. */
 import { Bucket } from "./bucket.js";
 import type { EndedTask, LiveJob, Machine, Placement } from "./cluster.js";
+import type { LeaderContext } from "./leader-context.js";
 import type { Command } from "./model.js";
-import type { Office } from "./office.js";
 
 /** Looks a second, for each core, at machines whose report is not late yet. */
 const LOOKS = 40;
@@ -20,8 +20,8 @@
   /** Set by the node while it is behind: what can wait is to leave it time. */
   heldUp = false;
 
-  constructor(private readonly office: Office) {
-    const rate = LOOKS * office.settings.cpuShare;
+  constructor(private readonly context: LeaderContext) {
+    const rate = LOOKS * context.settings.cpuShare;
     this.looks = new Bucket(rate, rate);
   }
 
@@ -29,7 +29,7 @@
     if (p.stop !== null && p.stop.graceS <= graceS) return;
     p.stop = { why, graceS, sentAt: Number.NEGATIVE_INFINITY };
     this.due.add(p.machine);
-    this.office.log("stop", {
+    this.context.log("stop", {
       task: `${p.job.spec.id}/${p.task}`,
       attempt: p.attempt,
       machine: p.machine.name,
@@ -50,13 +50,13 @@
   }
 
   release(p: Placement, now: number): void {
-    this.office.cluster.release(p, now);
-    this.office.needPlan = true;
+    this.context.cluster.release(p, now);
+    this.context.needPlan = true;
   }
 
   /** The attempt went with its machine or session. */
   lost(p: Placement, why: string, now: number): void {
-    this.office.log("task lost", {
+    this.context.log("task lost", {
       task: `${p.job.spec.id}/${p.task}`,
       attempt: p.attempt,
       machine: p.machine.name,
@@ -79,7 +79,7 @@
         if (p.state === "loaded" || p.state === "planned") continue;
         // A second stop would cut a save short, unless that is meant.
         if (p.state === "saving" && p.stop.graceS > 0) continue;
-        if (now - p.stop.sentAt < this.office.settings.reportS / 6) continue;
+        if (now - p.stop.sentAt < this.context.settings.reportS / 6) continue;
         p.stop.sentAt = now;
         out.push({ op: "stop", ...at, graceS: p.stop.graceS });
       } else if (withStarts && this.mayStart(p, m, now)) {
@@ -108,7 +108,7 @@
       p.state === "sent" &&
       p.inFlight === 0 &&
       m.doubts.has(p.key) &&
-      now - p.sentAt > this.office.settings.reportS / 2
+      now - p.sentAt > this.context.settings.reportS / 2
     );
   }
 
@@ -118,7 +118,7 @@
    */
   private mayForget(m: Machine, key: string, e: EndedTask): boolean {
     if (m.doubts.has(key)) return false;
-    const job = this.office.cluster.jobs.get(e.job);
+    const job = this.context.cluster.jobs.get(e.job);
     return job === undefined || job.holds(e.task, e.version);
   }
 
@@ -138,7 +138,7 @@
       if (this.fences.size >= this.directs) return;
       this.fences.add(m.name);
       m.busy = true;
-      this.office.out.push({
+      this.context.out.push({
         kind: "send",
         machine: m.name,
         address: m.address,
@@ -156,7 +156,7 @@
     const commands = this.commandsFor(m, now, true).slice(0, 400);
     if (commands.every((c) => c.op === "forget")) return;
     m.busy = true;
-    this.office.out.push({
+    this.context.out.push({
       kind: "send",
       machine: m.name,
       address: m.address,
@@ -169,13 +169,13 @@
   unanswered(m: Machine, now: number): void {
     m.unanswered++;
     m.deafSince ??= now;
-    m.directAfter = now + this.office.settings.reportS / (m.unanswered === 1 ? 30 : 3);
+    m.directAfter = now + this.context.settings.reportS / (m.unanswered === 1 ? 30 : 3);
   }
 
   look(m: Machine): void {
     m.busy = true;
     this.shows.add(m.name);
-    this.office.out.push({ kind: "show", machine: m.name, address: m.address });
+    this.context.out.push({ kind: "show", machine: m.name, address: m.address });
   }
 
   /**
@@ -184,7 +184,7 @@
    * left no time for their reports, and most lost their leases.)
    */
   get directs(): number {
-    return this.heldUp ? 4 : Math.max(8, this.office.settings.sockets / 50);
+    return this.heldUp ? 4 : Math.max(8, this.context.settings.sockets / 50);
   }
 }
 
--- a/src/core/faults.ts
+++ b/src/core/faults.ts
@@ -1,8 +1,8 @@
 /** Faults of machines and of jobs: who is to blame when tasks fail or are slow. */
 import type { LiveJob, Machine, Placement } from "./cluster.js";
 import type { Dispatch } from "./dispatch.js";
+import type { LeaderContext } from "./leader-context.js";
 import { BEGIN_S, type TaskReport } from "./model.js";
-import type { Office } from "./office.js";
 
 /** A task this many times slower than the middle one of its job speaks against its machine. */
 const SLOW_RATIO = 2.5;
@@ -35,13 +35,13 @@
   private slowCheckedAt = Number.NEGATIVE_INFINITY;
 
   constructor(
-    private readonly office: Office,
+    private readonly context: LeaderContext,
     private readonly dispatch: Dispatch,
   ) {}
 
   afterExit(p: Placement, t: TaskReport, now: number): void {
     const job = p.job;
-    this.office.log("task ended", {
+    this.context.log("task ended", {
       task: `${job.spec.id}/${p.task}`,
       attempt: p.attempt,
       machine: p.machine.name,
@@ -51,9 +51,9 @@
     if (t.cause === "error") {
       this.failed(p, now);
     } else if (t.cause === "no_room" || t.cause === "busy") {
-      p.machine.refusedUntil = now + this.office.settings.reportS;
+      p.machine.refusedUntil = now + this.context.settings.reportS;
     } else if (t.cause === "unknown") {
-      job.backoffUntil = now + this.office.settings.reportS;
+      job.backoffUntil = now + this.context.settings.reportS;
     }
     if (job.spec.kind === "gang" && t.cause !== "done")
       this.dispatch.regroup(job, "a gang task ended");
@@ -66,7 +66,7 @@
    */
   private failed(p: Placement, now: number): void {
     const { job, machine } = p;
-    const { reportS } = this.office.settings;
+    const { reportS } = this.context.settings;
     if (p.timed) job.failedAfterS = Math.max(job.failedAfterS, now - p.runningSince);
     job.avoid(machine.name, now + BEGIN_S / 4);
     if (job.failedOn.size <= few(job)) job.failedOn.add(machine.name);
@@ -76,7 +76,7 @@
       job.suspect.tries++;
     } else if (!faresWell(job, now, reportS) && job.failedOn.size >= FEW) {
       job.suspect = { since: now, tries: 0 };
-      this.office.log("job fails everywhere", { job: job.spec.id, machines: job.failedOn.size });
+      this.context.log("job fails everywhere", { job: job.spec.id, machines: job.failedOn.size });
     } else {
       machine.failures.set(job, now);
       this.accused.add(machine);
@@ -93,15 +93,15 @@
 
   /** Clears jobs that fare well after all, and judges machines anew by what has become of jobs. */
   review(now: number): void {
-    const { reportS, leaseS } = this.office.settings;
+    const { reportS, leaseS } = this.context.settings;
     if (now - this.reviewedAt < reportS / 2) return;
     this.reviewedAt = now;
-    for (const job of this.office.cluster.jobs.values()) {
+    for (const job of this.context.cluster.jobs.values()) {
       if (job.suspect === null || !faresWell(job, now, reportS)) continue;
-      this.office.log("job fares well after all", { job: job.spec.id });
+      this.context.log("job fares well after all", { job: job.spec.id });
       job.suspect = null;
       job.backoffUntil = Number.NEGATIVE_INFINITY;
-      this.office.needPlan = true;
+      this.context.needPlan = true;
     }
     for (const m of this.accused) {
       for (const [job, at] of m.failures) {
@@ -116,14 +116,14 @@
 
   private judge(m: Machine, now: number): void {
     if (m.drain !== null || m.failures.size < 2) return;
-    const { reportS, leaseS } = this.office.settings;
+    const { reportS, leaseS } = this.context.settings;
     let sound = 0;
     for (const job of m.failures.keys()) {
       // What fails on many machines is followed by its failures, even if other tasks of it do well.
       if (job.failedOn.size <= few(job) && faresWell(job, now, reportS, m)) sound++;
     }
     if (sound >= 2) {
-      const machines = this.office.cluster.machines;
+      const machines = this.context.cluster.machines;
       let faulty = 0;
       for (const x of machines.values()) if (x.drain === FAULTY) faulty++;
       if (faulty <= machines.size * FAULTY_SHARE) this.drain(m, FAULTY);
@@ -143,21 +143,21 @@
    * emptied and given back. Few at a time, in case it is the jobs after all.
    */
   findSlow(now: number): void {
-    if (now - this.slowCheckedAt < this.office.settings.reportS) return;
+    if (now - this.slowCheckedAt < this.context.settings.reportS) return;
     this.slowCheckedAt = now;
-    for (const job of this.office.cluster.jobs.values()) {
+    for (const job of this.context.cluster.jobs.values()) {
       if (job.spec.kind !== "array" || job.runTimes.length < Math.max(3, job.spec.tasks / 4))
         continue;
       const sorted = [...job.runTimes].sort((a, b) => a - b);
       const usual = sorted[sorted.length >> 1]!;
       for (const p of job.placements.values()) {
         if (p.state !== "running" || !p.timed) continue;
-        if (now - p.runningSince > SLOW_RATIO * usual + this.office.settings.reportS) {
+        if (now - p.runningSince > SLOW_RATIO * usual + this.context.settings.reportS) {
           p.machine.slowTasks.add(p.key);
         }
       }
     }
-    const machines = [...this.office.cluster.machines.values()];
+    const machines = [...this.context.cluster.machines.values()];
     if (machines.some((m) => m.drain === "slow")) return;
     const worst = machines
       .filter((m) => m.state === "up" && m.drain === null && m.slowTasks.size >= 2)
@@ -167,7 +167,7 @@
 
   private drain(m: Machine, why: string): void {
     m.drain = why;
-    this.office.log("drain", { machine: m.name, why });
+    this.context.log("drain", { machine: m.name, why });
     for (const p of m.placements.values()) this.dispatch.stopWithMates(p, why, p.job.spec.saveS);
   }
 }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -2,8 +2,8 @@
 import type { LiveJob, Machine } from "./cluster.js";
 import type { Dispatch } from "./dispatch.js";
 import { Groups } from "./groups.js";
+import type { LeaderContext } from "./leader-context.js";
 import type { JobSpec, ListedMachine } from "./model.js";
-import type { Office } from "./office.js";
 import {
   lateOfKinds,
   machinesInZones,
@@ -41,16 +41,16 @@
   private lastJobAt: number;
 
   constructor(
-    private readonly office: Office,
+    private readonly context: LeaderContext,
     private readonly dispatch: Dispatch,
   ) {
-    this.groups = new Groups(GROUP_FILLED * office.valueLimit.plannedBytes);
-    this.lastJobAt = office.startedAt;
+    this.groups = new Groups(GROUP_FILLED * context.valueLimit.plannedBytes);
+    this.lastJobAt = context.startedAt;
   }
 
   /** The state service takes no larger values than these. */
   valuesShrink(): void {
-    this.groups.setMaxBytes(GROUP_FILLED * this.office.valueLimit.plannedBytes);
+    this.groups.setMaxBytes(GROUP_FILLED * this.context.valueLimit.plannedBytes);
   }
 
   noteShape(spec: JobSpec): void {
@@ -72,7 +72,7 @@
    * all take longer than what is waited for, none would ever come.)
    */
   returnLate(now: number): void {
-    for (const m of this.office.cluster.machines.values()) {
+    for (const m of this.context.cluster.machines.values()) {
       if (m.state !== "booting") continue;
       const { name, bootS } = m.type;
       const patience = this.patience.get(name) ?? PATIENCE;
@@ -89,27 +89,27 @@
     this.pendingReturns.set(m.name, why);
     m.drain ??= why;
     m.state = "returning";
-    this.office.log("return machine", { machine: m.name, why, tasks: m.placements.size });
+    this.context.log("return machine", { machine: m.name, why, tasks: m.placements.size });
   }
 
   cloudWork(now: number): void {
     if (now < this.cloudAfter) return;
     if (this.pendingReturns.size > 0 && this.returning === 0) {
       this.returning++;
-      this.office.out.push({
+      this.context.out.push({
         kind: "return",
         machines: [...this.pendingReturns.keys()].slice(0, 100),
       });
     }
-    if (!this.listing && now - this.listedAt > Math.max(this.office.settings.listLagS, 2) / 1.5) {
+    if (!this.listing && now - this.listedAt > Math.max(this.context.settings.listLagS, 2) / 1.5) {
       this.listing = true;
       this.listedAt = now;
-      this.office.out.push({ kind: "list" });
+      this.context.out.push({ kind: "list" });
     }
     if (
       this.renting === 0 &&
-      this.office.typesKnown &&
-      now - this.rentedAt > 2 / this.office.settings.cloudRps
+      this.context.typesKnown &&
+      now - this.rentedAt > 2 / this.context.settings.cloudRps
     ) {
       this.rentedAt = now;
       this.rent(now);
@@ -118,38 +118,38 @@
 
   private rent(now: number): void {
     // A holder that has just begun does not know all machines yet.
-    if (now - this.office.startedAt < 2 * this.office.settings.listLagS && this.listed.size === 0)
+    if (now - this.context.startedAt < 2 * this.context.settings.listLagS && this.listed.size === 0)
       return;
     // With no job at all for a while there is nothing to keep room for.
-    if (this.office.cluster.jobs.size > 0) this.lastJobAt = now;
-    const deserted = now - this.lastJobAt > this.office.settings.leaseS;
+    if (this.context.cluster.jobs.size > 0) this.lastJobAt = now;
+    const deserted = now - this.lastJobAt > this.context.settings.leaseS;
     if (deserted) this.shapes.clear();
     for (const s of this.shapes.values()) s.running = 0;
-    for (const m of this.office.cluster.machines.values()) {
+    for (const m of this.context.cluster.machines.values()) {
       for (const p of m.placements.values()) {
         const s = this.shapes.get(p.job.spec.class);
         if (s !== undefined) s.running++;
       }
     }
     const ctx: RentContext = {
-      cluster: this.office.cluster,
-      settings: this.office.settings,
-      types: [...this.office.types.values()],
+      cluster: this.context.cluster,
+      settings: this.context.settings,
+      types: [...this.context.types.values()],
       now,
       refused: this.refused,
-      spare: this.office.options.spare,
-      maxMachines: this.office.options.maxMachines,
-      inZone: machinesInZones(this.office.cluster),
-      late: lateOfKinds(this.office.cluster, now),
+      spare: this.context.options.spare,
+      maxMachines: this.context.options.maxMachines,
+      inZone: machinesInZones(this.context.cluster),
+      late: lateOfKinds(this.context.cluster, now),
     };
     const r = wanted(ctx, this.waiting, this.shapes.values());
     if (r !== null) {
       this.renting++;
       this.rentals++;
       // Names are never used again: the epoch is this term's alone.
-      const name = `t${this.office.epoch}-${this.rentals}`;
-      this.office.log("rent", { ...r });
-      this.office.out.push({
+      const name = `t${this.context.epoch}-${this.rentals}`;
+      this.context.log("rent", { ...r });
+      this.context.out.push({
         kind: "rent",
         name,
         type: r.type,
@@ -160,8 +160,8 @@
       return;
     }
     const idleS = deserted
-      ? Math.min(this.office.settings.leaseS, this.office.options.idleReturnS)
-      : this.office.options.idleReturnS;
+      ? Math.min(this.context.settings.leaseS, this.context.options.idleReturnS)
+      : this.context.options.idleReturnS;
     for (const m of surplus(ctx, [...this.shapes.values()], idleS)) {
       this.askReturn(m, "idle");
     }
@@ -175,13 +175,14 @@
     this.renting--;
     const key = offerKey(request.type, request.zone, request.spot);
     if (result === "trouble") this.cloudAfter = now + 1;
-    else if (result === "no capacity") this.refused.set(key, now + this.office.settings.leaseS / 2);
+    else if (result === "no capacity")
+      this.refused.set(key, now + this.context.settings.leaseS / 2);
     else {
       for (const name of result.machines) {
-        this.office.machine(name, request.type, request.zone, request.spot, now);
+        this.context.machine(name, request.type, request.zone, request.spot, now);
       }
       if (result.machines.length < request.count) {
-        this.refused.set(key, now + this.office.settings.leaseS / 2);
+        this.refused.set(key, now + this.context.settings.leaseS / 2);
       }
     }
   }
@@ -201,14 +202,14 @@
   /** The machine and everything on it are gone for certain. */
   private machineGone(name: string, why: string, now: number): void {
     this.gone.add(name);
-    const m = this.office.cluster.machines.get(name);
+    const m = this.context.cluster.machines.get(name);
     if (m === undefined) return;
     m.state = "gone";
     for (const p of [...m.placements.values()]) this.dispatch.lost(p, why, now);
-    this.office.cluster.machines.delete(name);
+    this.context.cluster.machines.delete(name);
     this.dispatch.due.delete(m);
     this.groups.remove(name, m.stored);
-    this.office.needPlan = true;
+    this.context.needPlan = true;
   }
 
   list(machines: readonly ListedMachine[] | null, now: number): void {
@@ -227,7 +228,7 @@
     }
     for (const l of machines) {
       if (this.gone.has(l.name)) continue;
-      const m = this.office.machine(l.name, l.type, l.zone, l.spot, now);
+      const m = this.context.machine(l.name, l.type, l.zone, l.spot, now);
       if (m === null) continue;
       if (newer) this.listed.set(l.name, l.ageS);
       if (m.address === "" && l.address !== "") m.address = l.address;
@@ -249,7 +250,7 @@
         if (names.has(name)) continue;
         // Once listed, a machine stays listed until it is gone. The return makes it certain.
         this.listed.delete(name);
-        const m = this.office.cluster.machines.get(name);
+        const m = this.context.cluster.machines.get(name);
         if (m !== undefined) this.askReturn(m, "no longer listed");
       }
     }
--- /dev/null
+++ b/src/core/leader-context.ts
@@ -0,0 +1,67 @@
+/** What the parts of the leader's state machine share: its view, settings and token, and what it asks for. */
+import { Cluster, Machine } from "./cluster.js";
+import type { ClusterSettings, JobSpec, MachineType } from "./model.js";
+import type { Output, SchedulerOptions } from "./outputs.js";
+import { ValueLimit } from "./value-limit.js";
+
+/** Nodes that are cut off keep such machines alive; by what runs there, so both sides agree. */
+export const isKept = (kind: JobSpec["kind"]): boolean => kind !== "array";
+
+export class LeaderContext {
+  readonly cluster: Cluster;
+  /** Something changed that a pass over all that waits should see. */
+  needPlan = true;
+  types = new Map<string, MachineType>();
+  readonly valueLimit: ValueLimit;
+  private collected: Output[] = [];
+
+  constructor(
+    readonly settings: ClusterSettings,
+    readonly options: SchedulerOptions,
+    public epoch: number,
+    public epochMark: number,
+    readonly startedAt: number,
+  ) {
+    this.cluster = new Cluster(settings.teams);
+    this.valueLimit = new ValueLimit(1024 * settings.valueKb, settings.leaseS);
+  }
+
+  get typesKnown(): boolean {
+    return this.types.size > 0;
+  }
+
+  get out(): Output[] {
+    return this.collected;
+  }
+
+  log(message: string, fields: Record<string, unknown>): void {
+    this.collected.push({ kind: "log", message, fields });
+  }
+
+  flush(): Output[] {
+    const out = this.collected;
+    this.collected = [];
+    return out;
+  }
+
+  /** Until a machine is heard it counts as if the former leader had renewed its lease as late as it may. */
+  awaitFirstContact(m: Machine): void {
+    m.lastHeard = this.startedAt;
+    m.lastRenewed = this.startedAt + this.options.graceS;
+  }
+
+  machine(name: string, type: string, zone: string, spot: boolean, now: number): Machine | null {
+    const known = this.cluster.machines.get(name);
+    if (known !== undefined) return known;
+    const t = this.types.get(type);
+    if (t === undefined) return null;
+    const m = new Machine(name, t, zone, spot, now);
+    this.cluster.machines.set(name, m);
+    return m;
+  }
+}
+
+export function serves(m: Machine): boolean {
+  for (const p of m.placements.values()) if (p.job.spec.kind === "service") return true;
+  return false;
+}
--- /dev/null
+++ b/src/core/outputs.ts
@@ -0,0 +1,51 @@
+/** What the leader's state machine asks for, and how what it asked for ended. */
+import type { Command, Report } from "./model.js";
+
+/** Something to be sent, asked of the cloud, done by the node, or logged. */
+export type Output =
+  | {
+      readonly kind: "send";
+      readonly machine: string;
+      readonly address: string;
+      readonly session: number;
+      readonly commands: readonly Command[];
+    }
+  | { readonly kind: "show"; readonly machine: string; readonly address: string }
+  | {
+      readonly kind: "rent";
+      readonly name: string;
+      readonly type: string;
+      readonly zone: string;
+      readonly spot: boolean;
+      readonly count: number;
+    }
+  | { readonly kind: "return"; readonly machines: readonly string[] }
+  | { readonly kind: "list" }
+  | { readonly kind: "bump" }
+  | { readonly kind: "resign"; readonly why: string }
+  | {
+      readonly kind: "log";
+      readonly message: string;
+      readonly fields: Record<string, unknown>;
+    };
+
+/** How a direct request to a worker ended; `sent`: it may have arrived. */
+export type SendOutcome =
+  | { readonly kind: "answer"; readonly executed: boolean; readonly report: Report }
+  | { readonly kind: "lost"; readonly sent: boolean };
+
+/** How a write ended. `unknown`: it may have been carried out, or may be later. */
+export type WriteOutcome = "ok" | "conflict" | "unknown" | "refused";
+
+/** Figures of a leader that follow from the settings and from the other controllers. */
+export interface SchedulerOptions {
+  readonly spare: number;
+  readonly maxMachines: number;
+  readonly idleReturnS: number;
+  /** Seconds for which a former holder may still have answered reports after its term. */
+  readonly graceS: number;
+  /** The same for machines that run replicas or gang tasks. */
+  readonly keepS: number;
+  /** Other controllers in each zone: cut off with its workers, each may keep them for `keepS`. */
+  readonly othersIn: ReadonlyMap<string, number>;
+}
--- /dev/null
+++ b/src/core/planning-pass.ts
@@ -0,0 +1,153 @@
+/** A pass over all that waits: placements first, then tasks that are stopped to make room for the rest. */
+import { Bucket } from "./bucket.js";
+import { type LiveJob, slots } from "./cluster.js";
+import type { Dispatch } from "./dispatch.js";
+import type { Fleet } from "./fleet.js";
+import type { LeaderContext } from "./leader-context.js";
+import { acceptable, eventName, occur } from "./pipeline.js";
+import { type PlanContext, takeSnapshot } from "./planning/context.js";
+import { type GpuReserve, reserveGpus } from "./planning/gpu-reserve.js";
+import { plan } from "./planning/planner.js";
+import { makeRoom, precedenceOf } from "./planning/preemption.js";
+import type { Watch } from "./watch.js";
+
+/** Passes over all that waits, at most so many in a report interval. */
+const PASSES = 40;
+/** Part of these while a new leader has not met most of its workers. */
+const PASSES_WHILE_SETTLING = PASSES / 8;
+/** Passes in a report interval when nothing is known to have changed. */
+const IDLE_PASSES = 3;
+/** Tasks of large arrays that are placed in a second, for each core, and at once; a quarter when behind. */
+const BULK = 400;
+const BULK_BURST_S = 4;
+/** Searches of one pass for tasks to stop. */
+const SEARCHES_FOR_ROOM = 16;
+/** Machines that one search may make room on for one job. */
+const MACHINES_A_JOB = 8;
+
+export class PlanningPass {
+  private plannedAt = Number.NEGATIVE_INFINITY;
+  /** How many tasks of large arrays are placed: what they cost is not to delay others. */
+  private readonly bulk = new Bucket(0, 0);
+
+  constructor(
+    private readonly context: LeaderContext,
+    private readonly dispatch: Dispatch,
+    private readonly fleet: Fleet,
+    private readonly watch: Watch,
+  ) {}
+
+  /** Runs a pass if it is time for one. */
+  runIfDue(now: number, wallMs: number): void {
+    const most = this.watch.settling(now) ? PASSES_WHILE_SETTLING : PASSES;
+    const passes = this.context.needPlan ? most : IDLE_PASSES;
+    const since = now - this.plannedAt;
+    if (this.context.typesKnown && since > this.context.settings.reportS / passes) {
+      this.replan(now, wallMs);
+    }
+  }
+
+  private setBulk(): void {
+    const whole = BULK * this.context.settings.cpuShare;
+    const rate = this.dispatch.heldUp ? whole / 4 : whole;
+    this.bulk.setRate(rate, BULK_BURST_S * rate);
+  }
+
+  private planContext(now: number, wallMs: number): PlanContext {
+    return {
+      cluster: this.context.cluster,
+      settings: this.context.settings,
+      now,
+      wallMs,
+      valueBytes: this.context.valueLimit.plannedBytes,
+      bulk: this.bulk,
+      snapshot: takeSnapshot(this.context.cluster, this.context.settings, now),
+      log: (message, fields) => this.context.log(message, fields),
+    };
+  }
+
+  private replan(now: number, wallMs: number): void {
+    this.context.needPlan = false;
+    this.plannedAt = now;
+    const within = this.context.cluster.withinGuarantee();
+    for (const m of this.context.cluster.machines.values()) {
+      if (m.reservedFor === null) continue;
+      const { job, held, until } = m.reservedFor;
+      const over = this.context.cluster.jobs.get(job.spec.id) !== job || job.pendingCount === 0;
+      if (held || over || now > until) {
+        m.reservedFor = null;
+      }
+    }
+    for (const job of this.context.cluster.jobs.values()) {
+      if (!job.isReady && !job.waits) job.ready(wallMs);
+      job.hold = precedenceOf(job, within);
+    }
+    const gpuSpecs = [...this.fleet.shapes.values()].map((s) => s.spec).filter((s) => s.gpus > 0);
+    const reserve = reserveGpus(this.context.cluster, gpuSpecs);
+    this.setBulk();
+    const ctx = this.planContext(now, wallMs);
+    this.fleet.waiting = plan(ctx, within, reserve, (job) => this.acceptStart(job));
+    // Nothing is stopped for what waits while most room is not in sight.
+    if (this.watch.settling(now)) return;
+    // Each look for room goes over all machines: what a pass does not come to, the next one does.
+    const searches = { left: SEARCHES_FOR_ROOM };
+    for (const job of this.fleet.waiting) this.preempt(job, ctx, within, reserve, searches);
+  }
+
+  /** The algebra decides whether the start is accepted; the write that holds it makes it so. */
+  private acceptStart(job: LiveJob): boolean {
+    if (job.started) return true;
+    const start = eventName("start", job.spec.id);
+    if (!acceptable(job.dependencies, start)) return false;
+    job.dependencies = occur(job.dependencies, start);
+    job.owner = this.context.epoch;
+    job.started = true;
+    job.touch();
+    return true;
+  }
+
+  private preempt(
+    job: LiveJob,
+    ctx: PlanContext,
+    within: ReadonlySet<string>,
+    reserve: GpuReserve,
+    searches: { left: number },
+  ): void {
+    const { rank } = job;
+    if (rank > 1 && !within.has(job.spec.id)) return;
+    if (searches.left <= 0 || ctx.now < job.roomAfter) return;
+    // Stopping costs work: what is not urgent waits a moment for room to come up by itself.
+    const waited = ctx.now - (job.waitingSince ?? ctx.now);
+    if (rank > 0 && waited < this.context.settings.reportS * rank) return;
+    let need = job.pendingCount;
+    if (job.spec.kind === "gang" && job.present > 0) return;
+    // Room made here and there is of no use to tasks that must start together in one zone.
+    if (job.spec.kind === "gang" && job.spec.tasks > 1 && job.heldZone === null) return;
+    for (const m of this.context.cluster.machines.values()) {
+      if (m.reservedFor?.job === job) {
+        need -= slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
+      }
+    }
+    for (let i = 0; need > 0 && i < MACHINES_A_JOB && searches.left > 0; i++) {
+      searches.left--;
+      const found = makeRoom(job, ctx, within, reserve);
+      if (found === null) {
+        job.roomAfter = ctx.now + this.context.settings.reportS / 4;
+        return;
+      }
+      found.machine.reservedFor = {
+        job,
+        until: ctx.now + this.context.settings.gangPeerS + 2 * this.context.settings.reportS,
+        held: false,
+      };
+      for (const v of found.victims) {
+        this.dispatch.stopWithMates(v, `room for ${job.spec.id}`, v.job.spec.saveS);
+      }
+      this.dispatch.pump(found.machine, ctx.now);
+      need -= Math.max(
+        1,
+        slots(job.spec, found.machine.freeCpus, found.machine.freeGpus, found.machine.freeMemory),
+      );
+    }
+  }
+}
--- a/src/core/watch.ts
+++ b/src/core/watch.ts
@@ -2,8 +2,8 @@
 import type { Machine } from "./cluster.js";
 import type { Dispatch } from "./dispatch.js";
 import type { Fleet } from "./fleet.js";
+import { isKept, type LeaderContext, serves } from "./leader-context.js";
 import { CLOCK_DRIFT } from "./model.js";
-import { isKept, type Office, serves } from "./office.js";
 
 /** Part of all machines that may be given up as silent in a report interval. */
 const GIVE_UP = 0.05;
@@ -18,15 +18,15 @@
   private settled = false;
 
   constructor(
-    private readonly office: Office,
+    private readonly context: LeaderContext,
     private readonly dispatch: Dispatch,
     private readonly fleet: Fleet,
   ) {}
 
   /** Silent machines: look, then give them up to the cloud, or wait their lease out. */
   watchMachines(now: number): void {
-    const { reportS, leaseS } = this.office.settings;
-    const up = [...this.office.cluster.machines.values()].filter(
+    const { reportS, leaseS } = this.context.settings;
+    const up = [...this.context.cluster.machines.values()].filter(
       (m) => m.state === "up" || m.state === "returning",
     );
     // A process that was held up finds everybody silent: first let it read what has come in.
@@ -56,8 +56,12 @@
     // Hardly anything is heard, and time enough to hear: another node may be better placed.
     const known = up.filter((m) => m.session > 0);
     const heard = known.filter((m) => now - m.lastHeard <= 1.6 * reportS).length;
-    if (known.length > 2 && heard < known.length / 3 && now - this.office.startedAt > 3 * reportS) {
-      this.office.out.push({ kind: "resign", why: `hears ${heard} of ${known.length} workers` });
+    if (
+      known.length > 2 &&
+      heard < known.length / 3 &&
+      now - this.context.startedAt > 3 * reportS
+    ) {
+      this.context.out.push({ kind: "resign", why: `hears ${heard} of ${known.length} workers` });
       return;
     }
     // Those in time need no look; of the others, those that run replicas come first.
@@ -100,7 +104,7 @@
       const unreached = quiet > 1.5 * reportS || deaf;
       if (unreached && holdsCancelled(m)) this.fleet.askReturn(m, "holds a cancelled task");
       // No cut that anybody waits out lasts so long: its place is better filled anew.
-      if (quiet > this.office.options.keepS + leaseS)
+      if (quiet > this.context.options.keepS + leaseS)
         this.fleet.askReturn(m, "silent for too long");
       if (m.placements.size > 0 && now > this.lapse(m)) {
         // Whatever it does now, its lease is over, and with it every task of that session.
@@ -120,12 +124,12 @@
    * cut off (`Caretaker`), by one node after another at the worst.
    */
   private lapse(m: Machine): number {
-    const { leaseS, reportS } = this.office.settings;
-    const { keepS, othersIn } = this.office.options;
+    const { leaseS, reportS } = this.context.settings;
+    const { keepS, othersIn } = this.context.options;
     const lease = leaseS * (1 + 2 * CLOCK_DRIFT) + 1;
     let renewed = m.lastRenewed;
     if (keeps(m)) {
-      if (!m.ours) renewed = Math.max(renewed, this.office.startedAt + keepS);
+      if (!m.ours) renewed = Math.max(renewed, this.context.startedAt + keepS);
       renewed += (othersIn.get(m.zone) ?? 0) * (keepS + lease + reportS);
     }
     return renewed + lease;
@@ -138,7 +142,7 @@
    */
   private giveUp(m: Machine, why: string, machines: number, now: number): void {
     if (m.state !== "up") return;
-    if (now - this.gaveUpAt > this.office.settings.reportS) {
+    if (now - this.gaveUpAt > this.context.settings.reportS) {
       this.gaveUpAt = now;
       this.gaveUp = 0;
     }
@@ -152,10 +156,11 @@
    * and what is planned meanwhile sees a small part of the machines.
    */
   settling(now: number): boolean {
-    if (this.settled || now - this.office.startedAt > this.office.settings.leaseS / 2) return false;
+    if (this.settled || now - this.context.startedAt > this.context.settings.leaseS / 2)
+      return false;
     let up = 0;
     let met = 0;
-    for (const m of this.office.cluster.machines.values()) {
+    for (const m of this.context.cluster.machines.values()) {
       if (m.state !== "up") continue;
       up++;
       if (m.ours) met++;
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -1,6 +1,6 @@
 /** Carries out what the scheduler asks for, and gives it the results while it still leads. */
 import type { Cloud } from "./cloud/client.js";
-import type { Output } from "./core/scheduler.js";
+import type { Output } from "./core/outputs.js";
 import type { Leading } from "./leadership.js";
 import type { Workers } from "./workers/client.js";
 import { workerSockets } from "./workers/sockets.js";
--- a/src/leadership.ts
+++ b/src/leadership.ts
@@ -1,7 +1,8 @@
 /** The term of one node: taking it, renewing it, raising its fencing token, and losing it. */
 import type { Logger } from "pino";
+import type { Output } from "./core/outputs.js";
 import { KEY, type Records, type StoredLead } from "./core/records.js";
-import type { Output, Scheduler } from "./core/scheduler.js";
+import type { Scheduler } from "./core/scheduler.js";
 import { Term } from "./core/term.js";
 import type { Follower } from "./state/follower.js";
 import type { Store } from "./state/store.js";
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Command, Report } from "../core/model.js";
-import type { SendOutcome } from "../core/scheduler.js";
+import type { SendOutcome } from "../core/outputs.js";
 import { Peer, RequestFailed } from "../net/client.js";
 import { decode, encode } from "../wire/msgpack.js";
 import { PATH } from "../wire/names.js";
--- a/tests/at-size.test.ts
+++ b/tests/at-size.test.ts
@@ -2,8 +2,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Report, TaskReport } from "../src/core/model.js";
+import type { Output } from "../src/core/outputs.js";
 import { KEY, Records } from "../src/core/records.js";
-import type { Output } from "../src/core/scheduler.js";
 import { Holder, spec, task } from "./helpers.js";
 
 const MACHINES = 700;
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -1,9 +1,10 @@
 /** What several tests share: bodies, settings, and a holder whose trace can be read. */
 
 import type { Command, JobSpec, MachineType, Report, TaskReport } from "../src/core/model.js";
+import type { Output } from "../src/core/outputs.js";
 import { dependenciesOf, written } from "../src/core/pipeline.js";
 import { KEY, placedIn, Records, type StoredPlacements } from "../src/core/records.js";
-import { type Output, Scheduler } from "../src/core/scheduler.js";
+import { Scheduler } from "../src/core/scheduler.js";
 import { largestValue, type Write } from "../src/core/writer.js";
 import { decodeSettings } from "../src/wire/settings.js";
 
--- a/tests/world.ts
+++ b/tests/world.ts
@@ -5,10 +5,12 @@
  */
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { isKept } from "../src/core/leader-context.js";
 import type { ClusterSettings, Command, JobSpec, Report, TaskReport } from "../src/core/model.js";
+import type { Output } from "../src/core/outputs.js";
 import { dependenciesOf, written } from "../src/core/pipeline.js";
 import { KEY, Records, type StoredJob } from "../src/core/records.js";
-import { isKept, type Output, Scheduler } from "../src/core/scheduler.js";
+import { Scheduler } from "../src/core/scheduler.js";
 import type { Write } from "../src/core/writer.js";
 import { decodeSettings } from "../src/wire/settings.js";
 import type { Change, Condition, Event } from "../src/wire/state.js";
