--- a/src/api/intake.ts
+++ b/src/api/intake.ts
@@ -17,7 +17,7 @@
 /** Of a value, what a submission may take; the rest is for its tasks. */
 const FILLED = 0.8;
 
-interface Wish {
+interface PendingWrite {
   readonly conditions: Condition[];
   readonly change: Change;
   readonly bytes: number;
@@ -28,7 +28,7 @@
 const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
 
 export class Intake {
-  private queue: Wish[] = [];
+  private queue: PendingWrite[] = [];
   private running = false;
   /** Submissions in a transaction; fewer after one was refused for what it holds. */
   private maxOps: number;
@@ -63,7 +63,7 @@
     };
     const bytes = JSON.stringify(value).length;
     if (bytes > FILLED * this.valueBytes) return Promise.resolve("never");
-    return this.wish(
+    return this.enqueue(
       [
         { key: KEY.live(spec.id), mark: 0 },
         { key: KEY.final(spec.id), mark: 0 },
@@ -79,7 +79,7 @@
    */
   cancel(id: string, wallMs: number): Promise<IntakeResult> {
     const value: StoredCancel = { at: wallMs, told: false };
-    return this.wish(
+    return this.enqueue(
       [
         { key: KEY.final(id), mark: 0 },
         { key: KEY.cancel(id), mark: 0 },
@@ -89,7 +89,7 @@
     );
   }
 
-  private wish(conditions: Condition[], change: Change, bytes: number): Promise<IntakeResult> {
+  private enqueue(conditions: Condition[], change: Change, bytes: number): Promise<IntakeResult> {
     return new Promise((resolve) => {
       const deadline = this.now() + this.patienceS;
       this.queue.push({ conditions, change, bytes, deadline, resolve });
@@ -121,7 +121,7 @@
 
   private async batch(): Promise<void> {
     const room = Math.max(1, Math.min(this.maxOps, Math.floor(this.writes.available(this.now()))));
-    const batch: Wish[] = [];
+    const batch: PendingWrite[] = [];
     const keys = new Set<string>();
     let bytes = 0;
     while (this.queue.length > 0 && batch.length < room) {
@@ -146,7 +146,7 @@
     }
     if (r.kind === "failed") {
       const failed = new Set(r.keys);
-      const again: Wish[] = [];
+      const again: PendingWrite[] = [];
       for (const w of batch) {
         if (w.conditions.some((c) => failed.has(c.key))) w.resolve("known");
         else again.push(w);
--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -19,7 +19,7 @@
 const TURNS = 3;
 
 /** What the server asks of the controller it is the front of. */
-export interface Desk {
+export interface ApiBackend {
   healthy(): boolean;
   /** Users are to go to other nodes, though what they ask here is answered. */
   leavesUsers(): boolean;
@@ -37,7 +37,7 @@
     r: Report,
   ):
     | { readonly kind: "answer"; readonly token: number; readonly commands: readonly Command[] }
-    | { readonly kind: "elsewhere"; readonly holder: string | null }
+    | { readonly kind: "elsewhere"; readonly leader: string | null }
     | { readonly kind: "unavailable" };
   /** The node that reports go to, if it is certain without reading one that it is another. */
   elsewhere(): string | null;
@@ -49,7 +49,7 @@
    * so that a storm of questions refuses none of the others.
    */
   readonly questions: AdaptiveLimit;
-  readonly wishes: AdaptiveLimit;
+  readonly mutations: AdaptiveLimit;
   readonly now: () => number;
   /** Seconds after which a refused client may come back. */
   readonly retryAfterS: number;
@@ -63,7 +63,7 @@
   readonly took: (what: string, seconds: number, status: number) => void;
 }
 
-export function buildServer(desk: Desk, options: ServerOptions): FastifyInstance {
+export function buildServer(backend: ApiBackend, options: ServerOptions): FastifyInstance {
   const app = Fastify({
     logger: false,
     bodyLimit: BODY_LIMIT,
@@ -101,7 +101,7 @@
     if (!limit.enter()) return refuse(reply, 429, "busy", turned++ % TURNS);
     const began = options.now();
     // A connection closed with its answer is not reset later with a request on its way.
-    if (desk.leavesUsers()) reply.header("connection", "close");
+    if (backend.leavesUsers()) reply.header("connection", "close");
     try {
       return await work();
     } finally {
@@ -121,32 +121,32 @@
   app.setNotFoundHandler((_req, reply) => send(reply, 404, { error: "no such path" }));
 
   app.get(PATH.health, (_req, reply) =>
-    desk.healthy() ? send(reply, 200, { ok: true }) : send(reply, 503, { ok: false }),
+    backend.healthy() ? send(reply, 200, { ok: true }) : send(reply, 503, { ok: false }),
   );
 
   app.post(PATH.jobs, (req, reply) =>
-    limited(options.wishes, reply, async () => {
+    limited(options.mutations, reply, async () => {
       const body = unpack(req.body);
       const spec = decodeJob(body);
       if (spec === null) {
         // A retry of an accepted job is answered with its state, whatever its body says.
         const id = (body as { nameId?: unknown } | null | undefined)?.nameId;
         if (typeof id === "string" && idIsValid(id)) {
-          const known = await desk.read(id);
+          const known = await backend.read(id);
           if (known === "unavailable") return refuse(reply, 503, "unavailable");
           if (known !== null) return send(reply, 200, encodeView(known, true));
         }
         return send(reply, 400, { error: "malformed" });
       }
-      const verdict = desk.judge(spec);
+      const verdict = backend.judge(spec);
       if (verdict !== "fits") {
-        const known = await desk.read(spec.id);
+        const known = await backend.read(spec.id);
         if (known === "unavailable") return refuse(reply, 503, "unavailable");
         if (known !== null) return send(reply, 200, encodeView(known, true));
         if (verdict === "unknown") return refuse(reply, 503, "machine types unknown");
         return send(reply, 422, { error: "can never run" });
       }
-      const result = await desk.submit(spec);
+      const result = await backend.submit(spec);
       if (result === "ok") {
         return send(
           reply,
@@ -156,7 +156,7 @@
       }
       if (result === "never") return send(reply, 422, { error: "can never run" });
       if (result === "known") {
-        const known = await desk.read(spec.id);
+        const known = await backend.read(spec.id);
         if (known !== null && known !== "unavailable")
           return send(reply, 200, encodeView(known, true));
       }
@@ -168,7 +168,7 @@
     limited(options.questions, reply, async () => {
       const { id } = req.params;
       if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
-      const known = await desk.read(id);
+      const known = await backend.read(id);
       if (known === "unavailable") return refuse(reply, 503, "unavailable");
       if (known === null) return send(reply, 404, { error: "no such job" });
       return send(reply, 200, encodeView(known, true));
@@ -178,20 +178,20 @@
   app.post<{ Params: { id: string } }>(`${PATH.jobs}/:id/${PATH.cancel}`, async (req, reply) => {
     const { id } = req.params;
     const deadline = options.now() + options.patienceS;
-    const answered = await limited(options.wishes, reply, async () => {
+    const answered = await limited(options.mutations, reply, async () => {
       if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
-      const known = await desk.read(id);
+      const known = await backend.read(id);
       if (known === "unavailable") return refuse(reply, 503, "unavailable");
       if (known === null) return send(reply, 404, { error: "no such job" });
       if (known.state === "done" || known.state === "cancelled")
         return send(reply, 200, encodeView(known, false));
-      if ((await desk.cancel(id)) === "unavailable") return refuse(reply, 503, "unavailable");
+      if ((await backend.cancel(id)) === "unavailable") return refuse(reply, 503, "unavailable");
       return null;
     });
     if (answered !== null) return answered;
     // How long machines take to be rid of the tasks says nothing about how busy this node is: the
     // limit does not measure it.
-    const ended = await desk.ended(id, Math.max(0, deadline - options.now()));
+    const ended = await backend.ended(id, Math.max(0, deadline - options.now()));
     if (ended !== null) return send(reply, 200, encodeView(ended, false));
     reply.header("retry-after", String(Math.max(1, Math.ceil(options.retryAfterS))));
     return send(reply, 503, { error: "not over yet" });
@@ -199,18 +199,18 @@
 
   // After a takeover every worker comes here once: it is sent on before its report is read.
   const sendOn = (_req: unknown, reply: FastifyReply, next: () => void): void => {
-    const holder = desk.elsewhere();
-    if (holder === null) next();
-    else send(reply, 421, encodeRedirect(holder));
+    const leader = backend.elsewhere();
+    if (leader === null) next();
+    else send(reply, 421, encodeRedirect(leader));
   };
   app.post(PATH.report, { onRequest: sendOn }, (req, reply) => {
     const report = decodeReport(unpack(req.body));
     if (report === null) return send(reply, 400, { error: "malformed" });
-    const answer = desk.report(report);
+    const answer = backend.report(report);
     if (answer.kind === "answer") {
       return send(reply, 200, encodeCommands(answer.token, null, answer.commands));
     }
-    if (answer.kind === "elsewhere") return send(reply, 421, encodeRedirect(answer.holder));
+    if (answer.kind === "elsewhere") return send(reply, 421, encodeRedirect(answer.leader));
     return refuse(reply, 503, "unavailable");
   });
 
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -9,7 +9,7 @@
   term: z.object({
     /** Length of the term's lease, as a ratio to the workers' report interval. */
     lease_ratio: ratio(0.5, 0.2, 10),
-    /** How long a holder that lost the state service answers reports, as a ratio to lease_s. */
+    /** How long a leader that lost the state service answers reports, as a ratio to lease_s. */
     grace_ratio: ratio(1, 0, 4),
     /**
      * How long a node that is cut off keeps machines with replicas or gangs alive, as a ratio to
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -6,18 +6,18 @@
 import type { Logger } from "pino";
 import { Ends } from "./api/ends.js";
 import { Intake } from "./api/intake.js";
-import { buildServer, type Desk } from "./api/server.js";
+import { type ApiBackend, buildServer } from "./api/server.js";
 import { Cloud } from "./cloud/client.js";
 import type { Operator } from "./config/operator.js";
 import { Bucket } from "./core/bucket.js";
-import { Caretaker } from "./core/caretaker.js";
-import { type Contact, Deputy } from "./core/deputy.js";
+import { LeaseKeeper } from "./core/lease-keeper.js";
 import { AdaptiveLimit } from "./core/limit.js";
 import type { JobSpec, JobView, MachineType, Report } from "./core/model.js";
 import type { Output } from "./core/outputs.js";
 import { KEY, Records, type Touched } from "./core/records.js";
 import { canEverRun, Scheduler } from "./core/scheduler.js";
-import { OWN, WriteShare } from "./core/share.js";
+import { type Contact, StandbyResponder } from "./core/standby-responder.js";
+import { OWN, WriteBudget } from "./core/write-budget.js";
 import type { Write } from "./core/writer.js";
 import { Effects } from "./effects.js";
 import { Leadership, type Leading } from "./leadership.js";
@@ -37,7 +37,7 @@
 /** A transaction's limit by the protocol, less room for the message around it. */
 const TXN_BYTES = 60 * 1024;
 
-export class Controller implements Desk {
+export class Controller implements ApiBackend {
   private readonly records = new Records();
   private readonly store: Store;
   private readonly cloud: Cloud;
@@ -47,11 +47,11 @@
   private readonly ends: Ends;
   private readonly mesh: Mesh;
   private readonly writes: Bucket;
-  private readonly share: WriteShare;
+  private readonly writeBudget: WriteBudget;
   private readonly app: FastifyInstance;
   private types: readonly MachineType[] = [];
   private readonly leadership: Leadership;
-  private readonly deputy: Deputy;
+  private readonly standby: StandbyResponder;
   private readonly effects: Effects;
   private tickQueued = false;
   /** Steady time before which no further pass is made for what comes in. */
@@ -59,14 +59,14 @@
   private tickEnded = 0;
   /** How much later than asked timers come back lately, in seconds; and whether that is much. */
   private behindS = 0;
-  private heldUp = false;
+  private overloaded = false;
   private writing = false;
   /** Changes in a transaction at the most: fewer for a while after one was refused for its size. */
   private opsLimit: number;
   private stopped = false;
   private readonly graceS: number;
   private readonly keepS: number;
-  private readonly caretaker: Caretaker;
+  private readonly leaseKeeper: LeaseKeeper;
 
   constructor(
     private readonly settings: Settings,
@@ -74,11 +74,11 @@
     private readonly log: Logger,
   ) {
     const c = settings.cluster;
-    // Between two holders others may have answered for as long (`between`).
+    // Between two leaders others may have answered for as long (`between`).
     this.opsLimit = c.txnOps;
     this.graceS = Math.max(operator.graceRatio * c.leaseS, c.leaseS / 3 + this.contactGapS());
     this.keepS = operator.keepRatio * c.leaseS;
-    this.caretaker = new Caretaker(c.leaseS, this.contactGapS(), this.keepS);
+    this.leaseKeeper = new LeaseKeeper(c.leaseS, this.contactGapS(), this.keepS);
     const answerMs = (c.reportS * 1000) / 3;
     this.store = new Store(settings.state, steady, answerMs);
     this.cloud = new Cloud(settings.cloud, c.reportS * 1000);
@@ -88,15 +88,15 @@
     this.follower = new Follower(this.store, this.records, steady, spacing, answerMs, (t) =>
       this.changed(t),
     );
-    this.share = new WriteShare(c.stateWriteRps);
+    this.writeBudget = new WriteBudget(c.stateWriteRps);
     this.writes = new Bucket(this.writeShare(false), this.writeBurst(false));
     const sentOnRate = (1.5 * ACCEPTS * c.cpuShare) / Math.max(1, c.nodes - 1);
-    this.deputy = new Deputy(
+    this.standby = new StandbyResponder(
       c,
       settings.member,
       settings.zone,
       this.records,
-      this.caretaker,
+      this.leaseKeeper,
       new Bucket(sentOnRate, sentOnRate / 2),
       this.graceS,
     );
@@ -146,7 +146,7 @@
       new AdaptiveLimit(operator.maxInProgress / 50, operator.maxInProgress, answerMs / 2000);
     this.app = buildServer(this, {
       questions: limit(),
-      wishes: limit(),
+      mutations: limit(),
       now: steady,
       retryAfterS: 1,
       patienceS: c.reportS / 3,
@@ -160,20 +160,20 @@
   }
 
   /**
-   * The holder writes most, see `WriteShare`. The others may use five sixths together, and a third each at
+   * The leader writes most, see `WriteBudget`. The others may use five sixths together, and a third each at
    * a time, as submissions come in bursts; if the service refuses some, they are sent again a moment later.
    */
-  private writeShare(holder: boolean): number {
+  private writeShare(leader: boolean): number {
     const { stateWriteRps, nodes } = this.settings.cluster;
     const others = Math.max(1, Math.min(5, nodes - 1));
-    return holder ? this.share.rate(steady()) : ((5 / 6) * stateWriteRps) / others;
+    return leader ? this.writeBudget.rate(steady()) : ((5 / 6) * stateWriteRps) / others;
   }
   /**
-   * One second's worth of what is a node's own at the least, which the state service allows. (The holder
+   * One second's worth of what is a node's own at the least, which the state service allows. (The leader
    * was once left with the burst of another node: too small for any write but the smallest.)
    */
-  private writeBurst(holder: boolean): number {
-    return Math.max(4, this.settings.cluster.stateWriteRps * (holder ? OWN : 1 / 3));
+  private writeBurst(leader: boolean): number {
+    return Math.max(4, this.settings.cluster.stateWriteRps * (leader ? OWN : 1 / 3));
   }
 
   /** For programs that embed a controller. */
@@ -184,7 +184,7 @@
   async start(): Promise<void> {
     const [host, port] = this.settings.serveOn.split(":") as [string, string];
     // After a takeover every worker connects at once, and one that is not accepted and answered in time
-    // gives up and comes again. A long queue is then served to those who have left: the holder accepted
+    // gives up and comes again. A long queue is then served to those who have left: the leader accepted
     // hundreds a second and kept none, for a whole lease. So it holds what is accepted in a second.
     const backlog = Math.ceil(ACCEPTS * this.settings.cluster.cpuShare);
     await this.app.listen({ host, port: Number(port), backlog });
@@ -225,7 +225,7 @@
   }
 
   /**
-   * The holder has most to do: where enough others are in contact, they take the users, who then notice
+   * The leader has most to do: where enough others are in contact, they take the users, who then notice
    * neither its long passes nor its end.
    */
   leavesUsers(): boolean {
@@ -290,22 +290,22 @@
 
   // ---------------------------------------------------------------- workers
 
-  report(r: Report): ReturnType<Desk["report"]> {
+  report(r: Report): ReturnType<ApiBackend["report"]> {
     const now = steady();
     const leading = this.leadership.current;
     if (leading !== null) return this.reportTo(leading, r, now);
-    if (this.deputy.answers(r, this.contact(), now, Date.now())) {
+    if (this.standby.answers(r, this.contact(), now, Date.now())) {
       return { kind: "answer", token: this.records.epoch.value.n, commands: [] };
     }
     const leader = this.records.lead?.value.member ?? null;
-    return { kind: "elsewhere", holder: leader === this.settings.member ? null : leader };
+    return { kind: "elsewhere", leader: leader === this.settings.member ? null : leader };
   }
 
   private reportTo(
     { term, scheduler }: Leading,
     r: Report,
     now: number,
-  ): ReturnType<Desk["report"]> {
+  ): ReturnType<ApiBackend["report"]> {
     if (term.acting(now)) {
       const { commands, outputs } = scheduler.report(r, now);
       const token = term.epoch;
@@ -313,7 +313,7 @@
       this.queueTick();
       return { kind: "answer", token, commands };
     }
-    const graceS = this.deputy.runsKept(r) ? this.keepS : this.graceS;
+    const graceS = this.standby.runsKept(r) ? this.keepS : this.graceS;
     if (!term.answering(now, graceS) || r.token > term.epoch) return { kind: "unavailable" };
     scheduler.renewedWithout(r, now);
     return { kind: "answer", token: term.epoch, commands: [] };
@@ -324,7 +324,7 @@
       loaded: this.follower.loaded,
       stateOk: this.stateOk(),
       siblingReachesState: this.mesh.siblingReachesState(),
-      leaderSpeaks: this.mesh.holderSpeaks(),
+      leaderSpeaks: this.mesh.leaderSpeaks(),
     };
   }
 
@@ -333,7 +333,7 @@
     const member = this.records.lead?.value.member;
     if (this.leadership.current !== null || member === undefined) return null;
     if (member === this.settings.member) return null;
-    return this.stateOk() && !this.deputy.settles(Date.now()) ? member : null;
+    return this.stateOk() && !this.standby.settles(Date.now()) ? member : null;
   }
 
   // ---------------------------------------------------------------- changes of the records
@@ -370,9 +370,9 @@
         for (const id of ids) scheduler.recordChanged(this.records, id, now);
       }
     }
-    if (touched === null) this.deputy.leadSeen(now);
+    if (touched === null) this.standby.leadSeen(now);
     this.ends.changed(touched === null ? null : touched.jobs);
-    if (touched !== null) this.share.seen(touched.asked);
+    if (touched !== null) this.writeBudget.seen(touched.asked);
     if (this.types.length === 0 && this.records.types !== null) this.types = this.records.types;
     this.queueTick();
   }
@@ -403,16 +403,16 @@
   private async tickLoop(): Promise<void> {
     const every = this.settings.cluster.reportS / 20;
     while (!this.stopped) {
-      if (this.follower.loaded) this.caretaker.contact(this.store.lastAnswer);
-      if (this.records.lead !== null) this.deputy.leadSeen(steady());
+      if (this.follower.loaded) this.leaseKeeper.contact(this.store.lastAnswer);
+      if (this.records.lead !== null) this.standby.leadSeen(steady());
       if (steady() >= this.tickAfter) this.tick();
       const before = steady();
       await sleep(every);
       // A pause that took far longer than asked for: more comes in than can be done.
       this.behindS = 0.7 * this.behindS + 0.3 * (steady() - before - every);
-      this.heldUp = this.behindS > this.settings.cluster.reportS / 30;
+      this.overloaded = this.behindS > this.settings.cluster.reportS / 30;
       const leading = this.leadership.current;
-      if (leading !== null) leading.scheduler.heldUp = this.heldUp;
+      if (leading !== null) leading.scheduler.overloaded = this.overloaded;
     }
   }
 
@@ -438,7 +438,7 @@
       this.log.warn({ tookS: ended - began, sinceS: began - this.tickEnded, jobs }, "long pass");
     }
     this.tickEnded = ended;
-    const rest = (this.heldUp ? 8 : 2) * (ended - began);
+    const rest = (this.overloaded ? 8 : 2) * (ended - began);
     this.tickAfter = ended + Math.max(this.settings.cluster.reportS / 100, rest);
   }
 
@@ -512,7 +512,7 @@
         if (w.changes.length > 1) this.opsLimit = Math.max(1, w.changes.length >> 1);
         else scheduler.refusedAlone(w, steady());
       }
-      this.share.refused(steady());
+      this.writeBudget.refused(steady());
       finish("refused", 0);
       await sleep(this.settings.cluster.reportS / 30);
       return;
@@ -574,7 +574,7 @@
     }
     const leading = this.leadership.current;
     if (leading === null) return;
-    if (o.kind === "bump") this.leadership.raiseWanted = true;
+    if (o.kind === "raise token") this.leadership.raiseWanted = true;
     else if (o.kind === "resign") {
       this.leadership.standBack(2 * this.settings.cluster.reportS);
       this.leadership.lose(o.why);
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,4 +1,4 @@
-/** The term holder's view of machines, jobs and what may be where. Bookkeeping only. */
+/** The leader's view of machines, jobs and what may be where. Bookkeeping only. */
 import type { Expression } from "../algebra/expression.js";
 import { GangStarts } from "./gang-starts.js";
 import { type JobSpec, type MachineType, rankOf, type Team } from "./model.js";
@@ -40,7 +40,7 @@
    * these has it too, or after so many seconds.
    */
   heldS = 0;
-  /** Its start was seen under this holder, so that its run time is known. */
+  /** Its start was seen under this leader, so that its run time is known. */
   timed = false;
 
   constructor(
@@ -87,7 +87,7 @@
   seq = -1;
   /** The worker has answered under the present token, so older commands are dropped there. */
   fenced = false;
-  /** It has seen a token of this holder: what a former one answers is dropped there. */
+  /** It has seen a token of this leader: what a former one answers is dropped there. */
   ours = false;
   /** `booting` until its worker is heard, `gone` once proven. */
   state: "booting" | "up" | "returning" | "gone" = "booting";
@@ -98,7 +98,7 @@
    * but reaches no controller loses its lease, and with it all that was placed there.
    */
   reportedAt = Number.NEGATIVE_INFINITY;
-  /** Latest time at which any holder can have renewed the worker's lease. */
+  /** Latest time at which any leader can have renewed the worker's lease. */
   lastRenewed = Number.NEGATIVE_INFINITY;
   /** Time at which the cloud takes it, when told. */
   takenAt: number | null = null;
@@ -118,7 +118,7 @@
   readonly placements = new Map<string, Placement>();
   readonly ended = new Map<string, EndedTask>();
   /** Starts sent without an answer, by the token they carried: they may still arrive. */
-  readonly doubts = new Map<string, number>();
+  readonly unansweredStarts = new Map<string, number>();
   /** Images it holds or fetches, with the time of last use and size. */
   readonly images = new Map<string, { at: number; gb: number; ready: boolean }>();
   /** Jobs of which a task failed here, and when, until it is known who was at fault. */
@@ -200,7 +200,7 @@
   /** Since when a placement of it waits to be stored; null: none does. */
   unstoredSince: number | null = null;
   /** Attempts on machines that our records did not hold: they count, and are stopped. */
-  readonly strays = new Set<Placement>();
+  readonly unrecorded = new Set<Placement>();
   cancelled = false;
   /** By its user; otherwise through one that it needs, and no key of its own says so. */
   calledOff = false;
@@ -217,15 +217,15 @@
   /** Run times of tasks that completed, in seconds. */
   readonly runTimes: number[] = [];
   /** How strongly it holds its place, the strongest first, as of the last pass. */
-  hold = 0;
+  precedence = 0;
   /** No search for tasks to stop before then: the last one found none. */
   roomAfter = Number.NEGATIVE_INFINITY;
   /** Its team's guarantee can still be kept, if it is a gang. */
   inTime = true;
   /** It goes first because it has waited for too long. */
-  neglected = false;
+  starving = false;
   /** Its place in line as of the last pass. */
-  line = Number.MAX_SAFE_INTEGER;
+  queuePosition = Number.MAX_SAFE_INTEGER;
   /** Zone in which room is held for a gang until all its tasks fit; "" if any zone will do. */
   heldZone: string | null = null;
   /** Time at which tasks of it first waited for room. */
@@ -396,7 +396,7 @@
     return this.spec.kind !== "service" && this.done.size >= this.spec.tasks;
   }
   get present(): number {
-    return this.placements.size + this.strays.size;
+    return this.placements.size + this.unrecorded.size;
   }
   /** Something to be stored changed: of a task, or of the job as a whole. */
   touch(task: number | null = null): void {
@@ -425,7 +425,7 @@
 
   *everyPlacement(): Generator<Placement> {
     yield* this.placements.values();
-    yield* this.strays;
+    yield* this.unrecorded;
   }
 
   /** The most bytes that a number of this job and what separates it take in a value. */
@@ -599,7 +599,7 @@
 
   /** Books a placement on its machine and against its team, where it counts until released. */
   add(p: Placement, stray = false): void {
-    if (stray) p.job.strays.add(p);
+    if (stray) p.job.unrecorded.add(p);
     else p.job.placements.set(p.task, p);
     const part = p.job.partOf(p.task);
     if (p.version > part.placed) part.placed = p.version;
@@ -619,7 +619,7 @@
   release(p: Placement, now: number): void {
     if (!p.machine.placements.delete(p.key)) return;
     if (p.job.placements.get(p.task) === p) p.job.placements.delete(p.task);
-    p.job.strays.delete(p);
+    p.job.unrecorded.delete(p);
     const { cpus, gpus, memoryGb } = p.job.spec;
     p.machine.cpusUsed -= cpus;
     p.machine.gpusUsed -= gpus;
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -1,11 +1,11 @@
-/** Starts, stops and looks: what goes to each worker, and when. */
+/** Starts, stops and probes: what goes to each worker, and when. */
 import { Bucket } from "./bucket.js";
 import type { EndedTask, LiveJob, Machine, Placement } from "./cluster.js";
 import type { LeaderContext } from "./leader-context.js";
 import type { Command } from "./model.js";
 
 /** Looks a second, for each core, at machines whose report is not late yet. */
-const LOOKS = 40;
+const PROBES = 40;
 
 export class Dispatch {
   /** Machines that something may be due to; the others are not looked at as time passes. */
@@ -14,15 +14,15 @@
   readonly fences = new Set<string>();
   /** Machines that are being looked at. */
   readonly shows = new Set<string>();
-  readonly looks: Bucket;
+  readonly probes: Bucket;
   /** Tasks of jobs that are over, to be stopped outright. */
   orphans: { machine: string; job: string; task: number; attempt: number }[] = [];
   /** Set by the node while it is behind: what can wait is to leave it time. */
-  heldUp = false;
+  overloaded = false;
 
   constructor(private readonly context: LeaderContext) {
-    const rate = LOOKS * context.settings.cpuShare;
-    this.looks = new Bucket(rate, rate);
+    const rate = PROBES * context.settings.cpuShare;
+    this.probes = new Bucket(rate, rate);
   }
 
   stop(p: Placement, why: string, graceS: number): void {
@@ -71,7 +71,7 @@
     for (const p of [...m.placements.values()]) {
       const at = { job: p.job.spec.id, task: p.task, attempt: p.attempt };
       if (p.stop !== null) {
-        if (p.state === "planned" && p.inFlight === 0 && !m.doubts.has(p.key)) {
+        if (p.state === "planned" && p.inFlight === 0 && !m.unansweredStarts.has(p.key)) {
           // Never sent under this token, and the worker does not know it: it is not there.
           if (m.fenced && p.session === m.session) this.release(p, now);
           continue;
@@ -107,7 +107,7 @@
     return (
       p.state === "sent" &&
       p.inFlight === 0 &&
-      m.doubts.has(p.key) &&
+      m.unansweredStarts.has(p.key) &&
       now - p.sentAt > this.context.settings.reportS / 2
     );
   }
@@ -117,7 +117,7 @@
    * stored, and no start of it may be unanswered under the present token.
    */
   private mayForget(m: Machine, key: string, e: EndedTask): boolean {
-    if (m.doubts.has(key)) return false;
+    if (m.unansweredStarts.has(key)) return false;
     const job = this.context.cluster.jobs.get(e.job);
     return job === undefined || job.holds(e.task, e.version);
   }
@@ -172,7 +172,7 @@
     m.directAfter = now + this.context.settings.reportS / (m.unanswered === 1 ? 30 : 3);
   }
 
-  look(m: Machine): void {
+  probe(m: Machine): void {
     m.busy = true;
     this.shows.add(m.name);
     this.context.out.push({ kind: "show", machine: m.name, address: m.address });
@@ -184,7 +184,7 @@
    * left no time for their reports, and most lost their leases.)
    */
   get directs(): number {
-    return this.heldUp ? 4 : Math.max(8, this.context.settings.sockets / 50);
+    return this.overloaded ? 4 : Math.max(8, this.context.settings.sockets / 50);
   }
 }
 
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -117,7 +117,7 @@
   }
 
   private rent(now: number): void {
-    // A holder that has just begun does not know all machines yet.
+    // A leader that has just begun does not know all machines yet.
     if (now - this.context.startedAt < 2 * this.context.settings.listLagS && this.listed.size === 0)
       return;
     // With no job at all for a while there is nothing to keep room for.
@@ -240,9 +240,9 @@
         m.address !== "" &&
         !m.busy &&
         now >= m.directAfter &&
-        this.dispatch.looks.take(1, now)
+        this.dispatch.probes.take(1, now)
       ) {
-        this.dispatch.look(m);
+        this.dispatch.probe(m);
       }
     }
     if (newer) {
--- a/src/core/caretaker.ts
+++ b/src/core/lease-keeper.ts
@@ -8,7 +8,7 @@
  */
 import { CLOCK_DRIFT } from "./model.js";
 
-export class Caretaker {
+export class LeaseKeeper {
   private since = Number.POSITIVE_INFINITY;
   private last = Number.NEGATIVE_INFINITY;
 
--- a/src/core/watch.ts
+++ b/src/core/machine-monitor.ts
@@ -8,7 +8,7 @@
 /** Part of all machines that may be given up as silent in a report interval. */
 const GIVE_UP = 0.05;
 
-export class Watch {
+export class MachineMonitor {
   watchedAt = Number.NEGATIVE_INFINITY;
   private watchAfter = Number.NEGATIVE_INFINITY;
   /** When so many machines of a zone were last overdue that it said nothing against any of them. */
@@ -30,9 +30,9 @@
       (m) => m.state === "up" || m.state === "returning",
     );
     // A process that was held up finds everybody silent: first let it read what has come in.
-    const heldUp = now - this.watchedAt > reportS / 2;
+    const overloaded = now - this.watchedAt > reportS / 2;
     this.watchedAt = now;
-    if (heldUp) this.watchAfter = now + reportS / 3;
+    if (overloaded) this.watchAfter = now + reportS / 3;
     if (now < this.watchAfter) return;
     // When many are overdue at once it is more likely us than them. Reports come within 1.25
     // intervals, and those that fell silent together are all overdue before the first is given up.
@@ -87,9 +87,9 @@
         now >= m.directAfter &&
         m.address !== "" &&
         this.dispatch.shows.size < this.dispatch.directs &&
-        (overdue || this.dispatch.looks.take(1, now))
+        (overdue || this.dispatch.probes.take(1, now))
       ) {
-        this.dispatch.look(m);
+        this.dispatch.probe(m);
       }
       // After a takeover workers must find us first, while we have most to do.
       const heardAfter = m.ours ? 0 : leaseS / 3;
@@ -111,7 +111,7 @@
         for (const p of [...m.placements.values()]) this.dispatch.lost(p, "lease over", now);
         m.session++;
         m.seq = -1;
-        m.doubts.clear();
+        m.unansweredStarts.clear();
         m.ended.clear();
       }
     }
@@ -121,7 +121,7 @@
   /**
    * When the worker's lease is over for certain, if nothing more is heard: a lease after any node
    * can last have renewed it. Machines with replicas or gang tasks are kept alive in a zone that is
-   * cut off (`Caretaker`), by one node after another at the worst.
+   * cut off (`LeaseKeeper`), by one node after another at the worst.
    */
   private lapse(m: Machine): number {
     const { leaseS, reportS } = this.context.settings;
@@ -152,7 +152,7 @@
   }
 
   /**
-   * A new holder has not met most of its workers yet. Their reports come first: their leases run,
+   * A new leader has not met most of its workers yet. Their reports come first: their leases run,
    * and what is planned meanwhile sees a small part of the machines.
    */
   settling(now: number): boolean {
--- a/src/core/outputs.ts
+++ b/src/core/outputs.ts
@@ -21,7 +21,7 @@
     }
   | { readonly kind: "return"; readonly machines: readonly string[] }
   | { readonly kind: "list" }
-  | { readonly kind: "bump" }
+  | { readonly kind: "raise token" }
   | { readonly kind: "resign"; readonly why: string }
   | {
       readonly kind: "log";
@@ -42,7 +42,7 @@
   readonly spare: number;
   readonly maxMachines: number;
   readonly idleReturnS: number;
-  /** Seconds for which a former holder may still have answered reports after its term. */
+  /** Seconds for which a former leader may still have answered reports after its term. */
   readonly graceS: number;
   /** The same for machines that run replicas or gang tasks. */
   readonly keepS: number;
--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -4,12 +4,12 @@
 import type { Dispatch } from "./dispatch.js";
 import type { Fleet } from "./fleet.js";
 import type { LeaderContext } from "./leader-context.js";
+import type { MachineMonitor } from "./machine-monitor.js";
 import { acceptable, eventName, occur } from "./pipeline.js";
 import { type PlanContext, takeSnapshot } from "./planning/context.js";
 import { type GpuReserve, reserveGpus } from "./planning/gpu-reserve.js";
 import { plan } from "./planning/planner.js";
 import { makeRoom, precedenceOf } from "./planning/preemption.js";
-import type { Watch } from "./watch.js";
 
 /** Passes over all that waits, at most so many in a report interval. */
 const PASSES = 40;
@@ -34,12 +34,12 @@
     private readonly context: LeaderContext,
     private readonly dispatch: Dispatch,
     private readonly fleet: Fleet,
-    private readonly watch: Watch,
+    private readonly monitor: MachineMonitor,
   ) {}
 
   /** Runs a pass if it is time for one. */
   runIfDue(now: number, wallMs: number): void {
-    const most = this.watch.settling(now) ? PASSES_WHILE_SETTLING : PASSES;
+    const most = this.monitor.settling(now) ? PASSES_WHILE_SETTLING : PASSES;
     const passes = this.context.needPlan ? most : IDLE_PASSES;
     const since = now - this.plannedAt;
     if (this.context.typesKnown && since > this.context.settings.reportS / passes) {
@@ -49,7 +49,7 @@
 
   private setBulk(): void {
     const whole = BULK * this.context.settings.cpuShare;
-    const rate = this.dispatch.heldUp ? whole / 4 : whole;
+    const rate = this.dispatch.overloaded ? whole / 4 : whole;
     this.bulk.setRate(rate, BULK_BURST_S * rate);
   }
 
@@ -80,7 +80,7 @@
     }
     for (const job of this.context.cluster.jobs.values()) {
       if (!job.isReady && !job.waits) job.ready(wallMs);
-      job.hold = precedenceOf(job, within);
+      job.precedence = precedenceOf(job, within);
     }
     const gpuSpecs = [...this.fleet.shapes.values()].map((s) => s.spec).filter((s) => s.gpus > 0);
     const reserve = reserveGpus(this.context.cluster, gpuSpecs);
@@ -88,7 +88,7 @@
     const ctx = this.planContext(now, wallMs);
     this.fleet.waiting = plan(ctx, within, reserve, (job) => this.acceptStart(job));
     // Nothing is stopped for what waits while most room is not in sight.
-    if (this.watch.settling(now)) return;
+    if (this.monitor.settling(now)) return;
     // Each look for room goes over all machines: what a pass does not come to, the next one does.
     const searches = { left: SEARCHES_FOR_ROOM };
     for (const job of this.fleet.waiting) this.preempt(job, ctx, within, reserve, searches);
--- a/src/core/planning/context.ts
+++ b/src/core/planning/context.ts
@@ -55,7 +55,7 @@
     else ofType.push(m);
     m.weakest = -1;
     for (const p of m.placements.values()) {
-      if (p.stop === null && p.job.hold > m.weakest) m.weakest = p.job.hold;
+      if (p.stop === null && p.job.precedence > m.weakest) m.weakest = p.job.precedence;
     }
     if (m.type.gpus > 0) {
       for (const [image, i] of m.images) {
--- a/src/core/planning/eligibility.ts
+++ b/src/core/planning/eligibility.ts
@@ -21,7 +21,7 @@
     m.takenAt === null &&
     m.deafSince === null &&
     now - m.lastHeard < 1.5 * settings.reportS &&
-    // (Reports go to other nodes while a new holder settles, but not for so long.)
+    // (Reports go to other nodes while a new leader settles, but not for so long.)
     now - m.reportedAt < SILENT_SHARE_OF_LEASE * settings.leaseS &&
     now >= m.refusedUntil &&
     roomOpenTo(m, job)
@@ -35,7 +35,12 @@
 export function roomOpenTo(m: Machine, job: LiveJob | null): boolean {
   const r = m.reservedFor;
   if (r === null || job === null || r.job === job) return true;
-  return !r.held && r.job.spec.kind === "gang" && job.spec.kind === "gang" && r.job.line > job.line;
+  return (
+    !r.held &&
+    r.job.spec.kind === "gang" &&
+    job.spec.kind === "gang" &&
+    r.job.queuePosition > job.queuePosition
+  );
 }
 
 export function typeAllowed(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
--- a/src/core/planning/gang-placement.ts
+++ b/src/core/planning/gang-placement.ts
@@ -95,7 +95,7 @@
 function tooLateByFetching(job: LiveJob, fetchS: number, ctx: PlanContext): boolean {
   const { spec } = job;
   const age = (ctx.wallMs - job.countsFrom) / 1000;
-  const within = job.hold < 20;
+  const within = job.precedence < 20;
   const left: number[] = [];
   for (const o of ctx.settings.objectives) {
     if (o.withinS === null || o.withinS <= age) continue;
--- a/src/core/planning/planner.ts
+++ b/src/core/planning/planner.ts
@@ -24,7 +24,7 @@
   const taken = new Set<string>();
   const queue = promoteUnderServed(order(ctx, within), ctx);
   queue.forEach((job, i) => {
-    job.line = i;
+    job.queuePosition = i;
   });
   for (const job of queue) {
     if (!mayStart(job)) continue;
--- a/src/core/planning/preemption.ts
+++ b/src/core/planning/preemption.ts
@@ -24,15 +24,15 @@
   within: ReadonlySet<string>,
 ): boolean {
   if (p.stop !== null) return false;
-  if (job.hold >= p.job.hold) return false;
+  if (job.precedence >= p.job.precedence) return false;
   // CPUs are to be had elsewhere, GPUs are not. (Low work within its guarantee stopped gangs for two
   // of their CPUs, one of them eighteen times in half a minute, each time with its image fetched anew.)
   const takesGpus = p.job.spec.gpus > 0 && job.spec.gpus === 0;
-  if (takesGpus && job.hold > 0 && waitedShare(job, ctx) < 0.25) return false;
+  if (takesGpus && job.precedence > 0 && waitedShare(job, ctx) < 0.25) return false;
   if (p.job.rank > job.rank) return true;
   // To give a team its guarantee, what another team runs beyond its own may be stopped; but a gang that
   // waits in line stops none that went before it. (Each was placed again and stopped again, fifty times.)
-  if (!job.inTime && !job.neglected) return false;
+  if (!job.inTime && !job.starving) return false;
   return within.has(job.spec.id) && !within.has(p.job.spec.id) && p.job.spec.team !== job.spec.team;
 }
 
@@ -61,7 +61,7 @@
   let best: { machine: Machine; victims: Placement[] } | null = null;
   let bestCost = Infinity;
   for (const m of machinesThatFit(job.spec, ctx)) {
-    if (m.weakest <= job.hold) continue;
+    if (m.weakest <= job.precedence) continue;
     // Room is being made or held there already; the caller has counted it.
     if (m.reservedFor !== null || room(m.zone) <= 0) continue;
     if (zone !== null && m.zone !== zone) continue;
--- a/src/core/planning/queue-order.ts
+++ b/src/core/planning/queue-order.ts
@@ -26,10 +26,10 @@
   const queueOf = (j: LiveJob): number => {
     // What fails wherever it goes never goes before what has not failed.
     if (j.suspect !== null) return SUSPECT_QUEUE;
-    if (starving.has(j)) return Math.min(1, j.hold);
+    if (starving.has(j)) return Math.min(1, j.precedence);
     // Gangs within a guarantee go first while that can still be kept. (In a burst those that were
     // late already went on before all others, in order of arrival, and everybody was late.)
-    return j.inTime || j.hold < 10 ? j.hold : 20 + j.rank;
+    return j.inTime || j.precedence < 10 ? j.precedence : 20 + j.rank;
   };
   return waiting.sort((a, b) => {
     const [ua, ub] = [urgency.get(a)!, urgency.get(b)!];
--- a/src/core/planning/starvation.ts
+++ b/src/core/planning/starvation.ts
@@ -30,14 +30,14 @@
     );
     out.add(jobs[0]!);
   }
-  for (const j of waiting) j.neglected = out.has(j);
+  for (const j of waiting) j.starving = out.has(j);
   return out;
 }
 
 /** A neglected job has started: a third of the room of its class is for others. */
 export function yieldToOthers(job: LiveJob, ctx: PlanContext): void {
-  if (!job.neglected) return;
-  job.neglected = false;
+  if (!job.starving) return;
+  job.starving = false;
   let room = 0;
   for (const m of machinesThatFit(job.spec, ctx)) {
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
--- a/src/core/reconciliation.ts
+++ b/src/core/reconciliation.ts
@@ -45,7 +45,7 @@
     if (now - m.lastHeard > 1.5 * this.context.settings.reportS) this.context.needPlan = true;
     m.lastHeard = now;
     m.unanswered = 0;
-    // A session begins no later than its first report; a former holder may renew for a while yet.
+    // A session begins no later than its first report; a former leader may renew for a while yet.
     m.lastRenewed = Math.max(
       m.lastRenewed,
       now,
@@ -58,7 +58,7 @@
         if (p.session < r.session) this.dispatch.lost(p, "new session", now);
       }
       m.session = r.session;
-      m.doubts.clear();
+      m.unansweredStarts.clear();
       m.ended.clear();
       m.seq = -1;
     }
@@ -67,7 +67,8 @@
     const fenced = r.token === this.context.epoch;
     if (fenced && !m.fenced) {
       this.context.needPlan = true;
-      for (const [key, epoch] of m.doubts) if (epoch < this.context.epoch) m.doubts.delete(key);
+      for (const [key, epoch] of m.unansweredStarts)
+        if (epoch < this.context.epoch) m.unansweredStarts.delete(key);
     }
     m.fenced = fenced;
     if (fenced) m.ours = true;
@@ -108,10 +109,10 @@
     for (const p of [...m.placements.values()]) {
       if (seen.has(p.key) || p.inFlight > 0 || p.session !== m.session) continue;
       if (p.state === "loaded") {
-        // Starts of former holders are dropped here by now, so it never came.
+        // Starts of former leaders are dropped here by now, so it never came.
         p.state = "planned";
       } else if (p.state === "sent") {
-        if (!m.doubts.has(p.key)) p.state = "planned";
+        if (!m.unansweredStarts.has(p.key)) p.state = "planned";
       } else if (p.state !== "planned") this.dispatch.lost(p, "no longer on its machine", now);
     }
     for (const key of [...m.ended.keys()]) if (!seen.has(key)) m.ended.delete(key);
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -55,7 +55,7 @@
   readonly v: number;
   /** Next attempt number. */
   readonly n: number;
-  /** Term whose holder owns the job; 0 before its start is accepted. */
+  /** Term whose leader owns the job; 0 before its start is accepted. */
   readonly o: number;
   /** Tasks done. */
   readonly done: string;
@@ -105,7 +105,7 @@
   readonly mark: number;
 }
 
-/** What a batch of changes touched, so that the term holder need not look at everything. */
+/** What a batch of changes touched, so that the leader need not look at everything. */
 export interface Touched {
   readonly jobs: Set<string>;
   lead: boolean;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,5 +1,5 @@
 /**
- * The term holder: one state machine for pipelines, machines, quota and commands.
+ * The leader: one state machine for pipelines, machines, quota and commands.
  *
  * It takes inputs (changed records, reports, answers, the passing of time) and returns what to
  * send. It has no clock, socket or randomness of its own. What it wants written is asked for with
@@ -11,6 +11,7 @@
 import { Fleet } from "./fleet.js";
 import { JobLifecycle } from "./job-lifecycle.js";
 import { LeaderContext, serves } from "./leader-context.js";
+import { MachineMonitor } from "./machine-monitor.js";
 import type {
   ClusterSettings,
   Command,
@@ -25,7 +26,6 @@
 import { PlanningPass } from "./planning-pass.js";
 import { isNewer, Reconciliation } from "./reconciliation.js";
 import type { Records } from "./records.js";
-import { Watch } from "./watch.js";
 import { composeWrite, hasWrite, largestValue, roomNeeded, type Write } from "./writer.js";
 
 export class Scheduler {
@@ -33,13 +33,13 @@
   private readonly dispatch: Dispatch;
   private readonly faults: Faults;
   private readonly fleet: Fleet;
-  private readonly watch: Watch;
+  private readonly monitor: MachineMonitor;
   private readonly jobs: JobLifecycle;
   private readonly reconciliation: Reconciliation;
   private readonly planning: PlanningPass;
   private readonly oversized: OversizedValues;
-  private bumping = false;
-  private bumpedAt: number;
+  private raisingToken = false;
+  private tokenRaisedAt: number;
   /** Set while a write is out whose result is not known: nothing else may be written. */
   private writing = false;
 
@@ -54,21 +54,21 @@
     this.dispatch = new Dispatch(this.context);
     this.faults = new Faults(this.context, this.dispatch);
     this.fleet = new Fleet(this.context, this.dispatch);
-    this.watch = new Watch(this.context, this.dispatch, this.fleet);
+    this.monitor = new MachineMonitor(this.context, this.dispatch, this.fleet);
     this.jobs = new JobLifecycle(this.context, this.dispatch, this.fleet);
     const { context, dispatch, faults, fleet } = this;
     this.reconciliation = new Reconciliation(context, dispatch, faults, fleet);
-    this.planning = new PlanningPass(context, dispatch, fleet, this.watch);
+    this.planning = new PlanningPass(context, dispatch, fleet, this.monitor);
     this.oversized = new OversizedValues(context, fleet);
-    this.bumpedAt = startedAt;
+    this.tokenRaisedAt = startedAt;
   }
 
   get cluster() {
     return this.context.cluster;
   }
   /** Set by the node while it is behind: what can wait is to leave it time. */
-  set heldUp(held: boolean) {
-    this.dispatch.heldUp = held;
+  set overloaded(held: boolean) {
+    this.dispatch.overloaded = held;
   }
 
   // ---------------------------------------------------------------- inputs
@@ -150,7 +150,7 @@
     return { commands, outputs: this.context.flush() };
   }
 
-  /** The former holder, while it may not act, answered a report without commands. */
+  /** The former leader, while it may not act, answered a report without commands. */
   renewedWithout(r: Report, now: number): void {
     const m = this.context.cluster.machines.get(r.machine);
     if (m === undefined || !isNewer(r, m)) return;
@@ -174,7 +174,7 @@
       const p = m.placements.get(key);
       if (p !== undefined) p.inFlight--;
       if (outcome.kind === "lost") {
-        if (outcome.sent) m.doubts.set(key, this.context.epoch);
+        if (outcome.sent) m.unansweredStarts.set(key, this.context.epoch);
         else if (p !== undefined && p.state === "sent") p.state = "planned";
       } else if (!outcome.executed && p !== undefined && p.state === "sent") p.state = "planned";
     }
@@ -207,9 +207,9 @@
   // ---------------------------------------------------------------- time
 
   tick(now: number, wallMs: number): Output[] {
-    if (now - this.watch.watchedAt >= this.context.settings.reportS / 20) {
-      this.watch.watchMachines(now);
-      this.checkDoubts(now);
+    if (now - this.monitor.watchedAt >= this.context.settings.reportS / 20) {
+      this.monitor.watchMachines(now);
+      this.checkUnansweredStarts(now);
     }
     this.faults.findSlow(now);
     this.faults.review(now);
@@ -220,26 +220,26 @@
   }
 
   /** Unanswered starts that matter (cancelled, or ended and not to be forgotten) need a new token. */
-  private checkDoubts(now: number): void {
-    if (this.bumping || now - this.bumpedAt < this.context.settings.leaseS / 2) return;
+  private checkUnansweredStarts(now: number): void {
+    if (this.raisingToken || now - this.tokenRaisedAt < this.context.settings.leaseS / 2) return;
     for (const m of this.context.cluster.machines.values()) {
-      if (m.doubts.size === 0 || m.state !== "up" || !m.fenced) continue;
+      if (m.unansweredStarts.size === 0 || m.state !== "up" || !m.fenced) continue;
       if (now - m.lastHeard > 2 * this.context.settings.reportS) continue;
-      for (const key of m.doubts.keys()) {
+      for (const key of m.unansweredStarts.keys()) {
         const p = m.placements.get(key);
         const matters = p === undefined ? m.ended.has(key) : p.stop !== null && p.state === "sent";
         if (!matters) continue;
-        this.bumping = true;
-        this.context.out.push({ kind: "bump" });
+        this.raisingToken = true;
+        this.context.out.push({ kind: "raise token" });
         return;
       }
     }
   }
 
   /** The epoch was raised, or not (null), to fence off late starts. */
-  bumped(epoch: { n: number; mark: number } | null, now: number): Output[] {
-    this.bumping = false;
-    this.bumpedAt = now;
+  tokenRaised(epoch: { n: number; mark: number } | null, now: number): Output[] {
+    this.raisingToken = false;
+    this.tokenRaisedAt = now;
     if (epoch === null) return [];
     this.context.epoch = epoch.n;
     this.context.epochMark = epoch.mark;
@@ -276,7 +276,7 @@
 
   /** The next transaction, or null if there is nothing to write. At most `maxOps` changes. */
   nextWrite(maxOps: number, maxBytes: number, urgentOnly = false, now = 0): Write | null {
-    if (this.writing || this.bumping) return null;
+    if (this.writing || this.raisingToken) return null;
     const allows = (bytes: number): boolean => this.context.valueLimit.allows(bytes, now);
     const priorityLeadS = this.context.settings.reportS;
     const limits = { maxOps, maxBytes, urgentOnly, allows, priorityLeadS };
--- a/src/core/deputy.ts
+++ b/src/core/standby-responder.ts
@@ -1,12 +1,12 @@
 /**
  * Which reports a node answers although it does not lead. No answer carries a command; each keeps a lease
- * alive, so each case is bounded by what a leader adds before it counts a lease as over (`Watch.lapse`).
+ * alive, so each case is bounded by what a leader adds before it counts a lease as over (`MachineMonitor.lapse`).
  * None rests on knowing every cancellation: one is confirmed only when nothing of it is left
  * (`Records.view`). What is known to be cancelled is not kept all the same, so that it is gone sooner.
  */
 import type { Bucket } from "./bucket.js";
-import type { Caretaker } from "./caretaker.js";
 import { isKept } from "./leader-context.js";
+import type { LeaseKeeper } from "./lease-keeper.js";
 import type { ClusterSettings, Report } from "./model.js";
 import type { Records } from "./records.js";
 
@@ -18,7 +18,7 @@
   readonly leaderSpeaks: boolean;
 }
 
-export class Deputy {
+export class StandbyResponder {
   /** When a leader was last recorded, or the records were first read. */
   private leadSeenAt = Number.NEGATIVE_INFINITY;
 
@@ -27,7 +27,7 @@
     private readonly member: string,
     private readonly zone: string,
     private readonly records: Records,
-    private readonly caretaker: Caretaker,
+    private readonly leaseKeeper: LeaseKeeper,
     /** Workers that a new leader takes in a second, as far as this node sends them on. */
     private readonly sentOn: Bucket,
     private readonly graceS: number,
@@ -111,7 +111,7 @@
       contact.loaded &&
       r.zone === this.zone &&
       r.token <= this.records.epoch.value.n &&
-      this.caretaker.mayAnswer(now) &&
+      this.leaseKeeper.mayAnswer(now) &&
       !contact.siblingReachesState &&
       !contact.leaderSpeaks &&
       this.runsKept(r)
--- a/src/core/term.ts
+++ b/src/core/term.ts
@@ -1,7 +1,7 @@
 /**
  * The term: one controller at a time makes all accepting writes (docs/design.md, exception 1).
  *
- * It rests on a leased key and a permanent counter. This is the arithmetic of when the holder may
+ * It rests on a leased key and a permanent counter. This is the arithmetic of when the leader may
  * act: it counts from when a renewal was sent, by its own clock, less what clocks may drift apart
  * and a margin, so that it has stopped before the lease can have lapsed.
  */
@@ -36,7 +36,7 @@
   }
 
   /**
-   * For a while after it may no longer act, the holder goes on answering reports, without commands:
+   * For a while after it may no longer act, the leader goes on answering reports, without commands:
    * the state service may be down for everybody, and workers would lose all their tasks. Whoever
    * takes over counts this time in (`graceS` of the scheduler).
    */
--- a/src/core/share.ts
+++ b/src/core/write-budget.ts
@@ -1,9 +1,9 @@
 /**
- * How many changes a second the term holder may write: most of what the other nodes leave, as seen in
+ * How many changes a second the leader may write: most of what the other nodes leave, as seen in
  * what they store for users, and two fifths at the least. Where the state service refuses, it keeps to
- * two thirds for a while. (With two thirds always, the placements of a new holder and thousands of tiny
+ * two thirds for a while. (With two thirds always, the placements of a new leader and thousands of tiny
  * jobs waited for writes beside an idle state service; and where many submissions came at once, these
- * were refused for the holder's sake.)
+ * were refused for the leader's sake.)
  */
 export const OWN = 2 / 3;
 const LEAST = 0.4;
@@ -15,7 +15,7 @@
 const OVER_S = 2;
 const AFTER_REFUSAL_S = 5;
 
-export class WriteShare {
+export class WriteBudget {
   private others = 0;
   private pending = 0;
   private at = Number.NEGATIVE_INFINITY;
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -1,4 +1,4 @@
-/** What goes into the next transaction of the term holder, and in which order. */
+/** What goes into the next transaction of the leader, and in which order. */
 import type { Change, Condition } from "../wire/state.js";
 import type { Cluster, LiveJob } from "./cluster.js";
 import type { Group, Groups } from "./groups.js";
--- a/src/leadership.ts
+++ b/src/leadership.ts
@@ -159,8 +159,8 @@
       term.epoch = n;
       term.epochMark = this.records.epoch.mark;
       this.options.log.info({ epoch: n }, "token raised");
-      this.options.perform(scheduler.bumped({ n, mark: term.epochMark }, now));
+      this.options.perform(scheduler.tokenRaised({ n, mark: term.epochMark }, now));
     } else if (this.records.epoch.value.n > term.epoch) this.lose("epoch taken while raising it");
-    else this.options.perform(scheduler.bumped(null, now));
+    else this.options.perform(scheduler.tokenRaised(null, now));
   }
 }
--- a/src/mesh/codec.ts
+++ b/src/mesh/codec.ts
@@ -5,7 +5,7 @@
  *   2..3   length of the rest  4      flags (1: reaches the state service, 2: holds the term)
  *   5..12  epoch it knows      13     its zone, by its place in the settings
  */
-export interface Beat {
+export interface Heartbeat {
   readonly stateOk: boolean;
   readonly holds: boolean;
   readonly epoch: number;
@@ -17,7 +17,7 @@
 const HEAD = 4;
 const BEAT_LENGTH = 10;
 
-export function encodeBeat(b: Beat): Buffer {
+export function encodeHeartbeat(b: Heartbeat): Buffer {
   const out = Buffer.alloc(HEAD + BEAT_LENGTH);
   out.writeUInt8(MAGIC, 0);
   out.writeUInt8(BEAT, 1);
@@ -29,12 +29,12 @@
 }
 
 /** Takes whole messages off the front of a stream; kinds it does not know are passed over. */
-export class BeatReader {
+export class HeartbeatReader {
   private pending: Buffer = Buffer.alloc(0);
 
-  feed(chunk: Buffer): Beat[] {
+  feed(chunk: Buffer): Heartbeat[] {
     this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const out: Beat[] = [];
+    const out: Heartbeat[] = [];
     while (this.pending.length >= HEAD) {
       if (this.pending.readUInt8(0) !== MAGIC) throw new Error("not a message of ours");
       const length = this.pending.readUInt16BE(2);
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -1,6 +1,6 @@
 /** Connections between controllers: each sends its beat to every other, several times a report. */
 import { connect, createServer, type Server, type Socket } from "node:net";
-import { type Beat, BeatReader, encodeBeat } from "./codec.js";
+import { encodeHeartbeat, type Heartbeat, HeartbeatReader } from "./codec.js";
 
 interface Link {
   readonly address: string;
@@ -14,7 +14,7 @@
   private readonly inbound = new Set<Socket>();
   /** Steady time of the last beat that said its sender reaches the state service. */
   private okAt = Number.NEGATIVE_INFINITY;
-  /** Steady time of the last beat from a term holder. */
+  /** Steady time of the last beat from a leader. */
   private holderAt = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -22,7 +22,7 @@
     siblings: readonly string[],
     private readonly now: () => number,
     private readonly everyS: number,
-    private readonly own: () => Beat,
+    private readonly own: () => Heartbeat,
   ) {
     this.links = siblings.map((address) => ({ address, socket: null }));
   }
@@ -40,8 +40,8 @@
   }
   private readonly heardAt = new Map<Socket, number>();
 
-  /** A term holder, acting or not, spoke a moment ago. */
-  holderSpeaks(): boolean {
+  /** A leader, acting or not, spoke a moment ago. */
+  leaderSpeaks(): boolean {
     return this.now() - this.holderAt < 4 * this.everyS;
   }
 
@@ -70,7 +70,7 @@
     socket.on("error", () => {});
     // A sender that fell silent without closing must not keep a socket for ever.
     socket.setTimeout(40_000 * this.everyS, () => socket.destroy());
-    const reader = new BeatReader();
+    const reader = new HeartbeatReader();
     try {
       for await (const chunk of socket) {
         for (const b of reader.feed(chunk as Buffer)) {
@@ -88,7 +88,7 @@
   }
 
   private beat(): void {
-    const bytes = encodeBeat(this.own());
+    const bytes = encodeHeartbeat(this.own());
     for (const l of this.links) {
       if (l.socket === null) this.open(l);
       // Beats are worth nothing late: what cannot be sent now is left out.
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -122,7 +122,7 @@
 
 /**
  * One task of a report. A schema for each cost three quarters of what a report costs, and reports
- * are most of what the term holder does; so these few fields are looked at one by one.
+ * are most of what the leader does; so these few fields are looked at one by one.
  */
 function taskIn(t: unknown): TaskReport | null {
   if (typeof t !== "object" || t === null) return null;
@@ -253,8 +253,8 @@
   return { token: r.data.rein, session: r.data.stint ?? null, commands };
 }
 
-export const encodeRedirect = (holder: string | null): Record<string, unknown> =>
-  holder === null ? {} : { groom: holder };
+export const encodeRedirect = (leader: string | null): Record<string, unknown> =>
+  leader === null ? {} : { groom: leader };
 
 const catalogIn = z.object({
   breeds: z.array(
--- a/tests/at-size.test.ts
+++ b/tests/at-size.test.ts
@@ -4,14 +4,14 @@
 import type { Report, TaskReport } from "../src/core/model.js";
 import type { Output } from "../src/core/outputs.js";
 import { KEY, Records } from "../src/core/records.js";
-import { Holder, spec, task } from "./helpers.js";
+import { spec, TestLeader, task } from "./helpers.js";
 
 const MACHINES = 700;
 const name = (i: number): string => `m-${String(i).padStart(6, "0")}${i % 2 ? "b" : "a"}`;
 
-/** A holder that has just heard all machines for the first time. */
-function crowd(): Holder {
-  const h = new Holder();
+/** A leader that has just heard all machines for the first time. */
+function crowd(): TestLeader {
+  const h = new TestLeader();
   for (let i = 0; i < MACHINES; i++) h.quietReport(name(i), []);
   return h;
 }
@@ -33,7 +33,7 @@
 });
 
 test("low placements are stored while urgent ones come as fast as anything can be written", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   const report = () => {
     for (let i = 0; i < 40; i++) h.quietReport(name(i), []);
   };
@@ -60,7 +60,7 @@
   old.submit(spec("web", { kind: "service", priority: "production", tasks: 3, cpus: 4 }));
   const busy = new Set(old.pending.map((o) => o.machine));
   assert.equal(busy.size, 3);
-  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
   h.tick(1);
   assert.deepEqual(new Set(h.pending.map((o) => o.machine)), busy);
   for (let i = 0; i < 4; i++) h.tick(1.6);
@@ -105,12 +105,12 @@
 test("after a takeover no more than a few machines are given up in a report interval", () => {
   const old = crowd();
   old.store();
-  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
   h.epoch = 2;
   const began = h.now;
   const given = (): number =>
     [...h.scheduler.cluster.machines.values()].filter((m) => m.state === "returning").length;
-  // Four of five find the new holder, the others are a long time about it.
+  // Four of five find the new leader, the others are a long time about it.
   for (let t = 0; t < 45; t++) {
     h.now += 0.3;
     if (t % 10 === 0) {
@@ -141,7 +141,7 @@
 });
 
 test("a gang of many machines is not starved by a stream of small jobs", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   const up: [string, TaskReport[]][] = [0, 2, 4, 6].map((i) => [name(i), []]);
   const report = (change: Partial<Report> = {}): void => {
     for (const [m, tasks] of up) h.report(m, tasks, change);
@@ -168,7 +168,7 @@
 });
 
 test("the largest job of a class goes first once half of the users' four minutes are over", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   h.report(name(0), []);
   h.submit(spec("now", { cpus: 4, tasks: 1 }));
   h.answer([task("now", 0, 1)]);
@@ -193,7 +193,7 @@
 });
 
 test("a late write of an older group of machines fails by its own mark", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   h.storing = false;
   h.report(name(0), []);
   const first = h.scheduler.nextWrite(32, 60_000)!;
@@ -217,7 +217,7 @@
 test("records of machines come back from the copy as they were written", () => {
   const r = new Records();
   r.reset([{ key: "g/1", value: { "m-1": ["10.0.0.1:1", "small", "a", true] }, mark: 3 }], 3);
-  const h = new Holder({ records: r, epoch: 2 });
+  const h = new TestLeader({ records: r, epoch: 2 });
   const m = h.scheduler.cluster.machines.get("m-1")!;
   assert.deepEqual(
     [m.address, m.type.name, m.zone, m.spot, m.stored],
@@ -226,7 +226,7 @@
 });
 
 test("a job's end is stored before the placements of others that are not production", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   h.report(name(0), []);
   h.report(name(2), []);
   h.submit(spec("old", { cpus: 4 }));
--- a/tests/boot.test.ts
+++ b/tests/boot.test.ts
@@ -4,7 +4,7 @@
 import type { ListedMachine } from "../src/core/model.js";
 import { lateOfKinds, machinesInZones, type Rental, wanted } from "../src/core/renting.js";
 import { decodeSettings } from "../src/wire/settings.js";
-import { Holder, settingsText, spec, TYPES, task } from "./helpers.js";
+import { settingsText, spec, TestLeader, TYPES, task } from "./helpers.js";
 
 const CLUSTER = (() => {
   const s = decodeSettings(settingsText());
@@ -27,7 +27,7 @@
   ...change,
 });
 
-function next(h: Holder): Rental | null {
+function next(h: TestLeader): Rental | null {
   return wanted(
     {
       cluster: h.scheduler.cluster,
@@ -46,7 +46,7 @@
 }
 
 test("room that is late is not waited for: another is rented, of another kind", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   h.submit(spec("j", { tasks: 4, team: "maps", spot: false, types: ["small"] }));
   assert.equal(next(h)?.zone, "a");
   h.take(h.scheduler.list([listed("m1a", 1)], h.now));
@@ -60,7 +60,7 @@
 });
 
 test("what never comes up goes back; where all take longer, they are given longer", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   const ages = new Map<string, number>();
   const back: [string, number][] = [];
   for (let i = 0; i < 400; i++) {
@@ -98,7 +98,7 @@
 });
 
 test("a machine that reports before it is listed is used, and neither rented again nor given up", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   h.submit(spec("j", { tasks: 4, team: "maps", types: ["small"] }));
   for (let i = 0; h.pending.length === 0 && i < 4; i++) h.report("m1a", []);
   h.answer([0, 1, 2, 3].map((n) => task("j", n, 1)));
--- a/tests/left-out.test.ts
+++ b/tests/delayed-messages.test.ts
@@ -1,8 +1,8 @@
-/** Troubles that the protocol page left out: half-deaf machines, late copies, a holder left alone. */
+/** Troubles that the protocol page left out: half-deaf machines, late copies, a leader left alone. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Caretaker } from "../src/core/caretaker.js";
-import { Holder, ready, spec, task } from "./helpers.js";
+import { LeaseKeeper } from "../src/core/lease-keeper.js";
+import { ready, spec, TestLeader, task } from "./helpers.js";
 
 test("a machine that reports but hears nothing takes no new work, and goes back to the cloud", () => {
   const h = ready();
@@ -58,7 +58,7 @@
   assert.match(h.trace(), /write p\/j done= at=\[\["m..",\d,2,"0"\]\]/);
 });
 
-test("late copy to the same holder: nothing revives, ends or starts by it", () => {
+test("late copy to the same leader: nothing revives, ends or starts by it", () => {
   const h = ready();
   h.submit(spec("j"));
   h.answer([task("j", 0, 1)]);
@@ -93,7 +93,7 @@
   old.submit(spec("j"));
   old.answer([task("j", 0, 1)]);
   const copy = old.makeReport("m1a", []);
-  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
   h.epoch = 2;
   h.trace();
   const { commands } = h.scheduler.report(copy, h.now);
@@ -116,7 +116,7 @@
 });
 
 test("a zone that is cut off keeps its machines; silent ones of another zone are given up", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   const names = [..."123456789"].flatMap((n) => [`m${n}a`, `m${n}b`]);
   for (const m of names) h.report(m, []);
   h.trace();
@@ -133,7 +133,7 @@
 
 test("a node cut off with its zone answers by itself for a bounded time, after long contact only", () => {
   // A lease of 21 s, contact every 2 s at least, kept for 126 s.
-  const c = new Caretaker(21, 2, 126);
+  const c = new LeaseKeeper(21, 2, 126);
   const touch = (from: number, to: number): void => {
     for (let t = from; t <= to; t++) c.contact(t);
   };
@@ -144,13 +144,13 @@
   assert.equal(c.mayAnswer(63), true);
   assert.equal(c.mayAnswer(185), true);
   assert.equal(c.mayAnswer(187), false, "for too long");
-  // Back for a moment: a worker that cannot reach the holder must run out of its lease.
+  // Back for a moment: a worker that cannot reach the leader must run out of its lease.
   touch(190, 200);
   assert.equal(c.mayAnswer(205), false);
 });
 
 test("in a cut-off zone an array's tasks move after a lease, replicas only when nobody can keep them", () => {
-  const h = new Holder({ graceS: 0, keepS: 60, othersIn: new Map([["b", 1]]) });
+  const h = new TestLeader({ graceS: 0, keepS: 60, othersIn: new Map([["b", 1]]) });
   for (const m of ["m1a", "m2a", "m3b", "m4b", "m5b"]) h.report(m, []);
   h.submit(spec("web", { kind: "service", cpus: 4, zone: "b" }));
   h.submit(spec("j", { cpus: 4, zone: "b" }));
@@ -178,7 +178,7 @@
 
 test("ran_cancelled: a machine that no stop reaches goes back when a task on it was cancelled", () => {
   // On a day with a zone cut off, tasks kept alive there outlived their cancellation by minutes.
-  const h = new Holder({ keepS: 126, othersIn: new Map([["b", 1]]) });
+  const h = new TestLeader({ keepS: 126, othersIn: new Map([["b", 1]]) });
   const cut = ["m2b", "m3b", "m4b", "m5b"];
   const near = ["m1a", "m6a", "m7a"];
   for (const m of [...near, ...cut]) h.report(m, []);
--- a/tests/faults.test.ts
+++ b/tests/faults.test.ts
@@ -2,12 +2,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { JobSpec } from "../src/core/model.js";
-import { type Fate, Holder, spec, Workers } from "./helpers.js";
+import { type Fate, spec, TestLeader, Workers } from "./helpers.js";
 
 const broken = (job: string): boolean => job.startsWith("broken");
 
-function fleet(small: number, big: number, fate: Fate): { h: Holder; w: Workers } {
-  const h = new Holder();
+function fleet(small: number, big: number, fate: Fate): { h: TestLeader; w: Workers } {
+  const h = new TestLeader();
   const types = new Map<string, string>();
   for (let i = 1; i <= small; i++) types.set(`m${i}a`, "small");
   for (let i = 1; i <= big; i++) types.set(`g${i}b`, "big");
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -8,7 +8,7 @@
 import { machinesInZones, wanted } from "../src/core/renting.js";
 import { decodeSettings } from "../src/wire/settings.js";
 import { workerSockets } from "../src/workers/sockets.js";
-import { Holder, settingsText, spec, TYPES, task } from "./helpers.js";
+import { settingsText, spec, TestLeader, TYPES, task } from "./helpers.js";
 
 const gpu = (id: string, change: Partial<JobSpec> = {}): JobSpec =>
   spec(id, {
@@ -22,8 +22,8 @@
     ...change,
   });
 
-function gpuMachines(names: readonly string[]): Holder {
-  const h = new Holder();
+function gpuMachines(names: readonly string[]): TestLeader {
+  const h = new TestLeader();
   for (const n of names) h.report(n, [], { type: "big" });
   h.trace();
   return h;
@@ -46,7 +46,7 @@
 
 test("when a zone is back from a cut, those not heard yet are not given up at once", () => {
   const names = [..."123456789"].flatMap((n) => [`m${n}a`, `m${n}b`]);
-  const h = new Holder();
+  const h = new TestLeader();
   for (const m of names) h.report(m, []);
   const [inA, inB] = ["a", "b"].map((z) => names.filter((m) => m.endsWith(z)));
   const run = (heard: readonly string[], seconds: number): string[] => {
@@ -200,7 +200,7 @@
 });
 
 test("one request rents for all that the same kind of machine serves", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   h.report("m1a", []);
   for (let i = 0; i < 6; i++) h.submit(spec(`j${i}`, { tasks: 8, team: "maps", types: ["small"] }));
   const r = wanted(
--- a/tests/gang-sizes.test.ts
+++ b/tests/gang-sizes.test.ts
@@ -1,7 +1,7 @@
 /** In a backlog of gangs every size of a class is served, not only the small ones. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Holder, spec, Workers } from "./helpers.js";
+import { spec, TestLeader, Workers } from "./helpers.js";
 
 const SIZES = [1, 2, 4];
 const MACHINES = 32;
@@ -19,21 +19,21 @@
 /** The share of each size that began within four minutes of its submission. */
 function servedShares({ perSecond, lost }: Burst): number[] {
   const names = Array.from({ length: MACHINES }, (_, i) => `m${i}${i % 2 === 0 ? "a" : "b"}`);
-  const holder = new Holder();
-  const workers = new Workers(holder, new Map(names.map((n) => [n, "big"])), () => RUN_S);
+  const leader = new TestLeader();
+  const workers = new Workers(leader, new Map(names.map((n) => [n, "big"])), () => RUN_S);
   workers.run(4);
   const submittedAt = new Map<string, { size: number; at: number }>();
-  const began = holder.now;
+  const began = leader.now;
   let arrivals = 0;
   workers.run(DAY_S, () => {
-    const t = holder.now - began;
+    const t = leader.now - began;
     for (; t < BURST_S && arrivals < t * perSecond; arrivals++) {
       for (const size of SIZES) {
         const id = `gang-${size}-${arrivals}`;
-        submittedAt.set(id, { size, at: holder.now });
+        submittedAt.set(id, { size, at: leader.now });
         const gang = { kind: "gang", tasks: size, oneZone: true, priority: "high" } as const;
         const shape = { cpus: 6, gpus: 4, types: ["big"], imageGb: 0.1, estimateS: RUN_S };
-        holder.submit(spec(id, { ...gang, ...shape, team: "maps", class: "gpu" }));
+        leader.submit(spec(id, { ...gang, ...shape, team: "maps", class: "gpu" }));
       }
     }
     if (t >= BURST_S / 2) for (const name of names.slice(0, lost)) workers.lose(name);
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -1,4 +1,4 @@
-/** What several tests share: bodies, settings, and a holder whose trace can be read. */
+/** What several tests share: bodies, settings, and a leader whose trace can be read. */
 
 import type { Command, JobSpec, MachineType, Report, TaskReport } from "../src/core/model.js";
 import type { Output } from "../src/core/outputs.js";
@@ -118,10 +118,10 @@
 ): TaskReport => ({ job, task: n, attempt, state, cause, saved: false });
 
 /**
- * A term holder with a store that is always there, writing down what goes in and out as lines.
+ * A leader with a store that is always there, writing down what goes in and out as lines.
  * Direct commands are held back until a test lets the worker answer.
  */
-export class Holder {
+export class TestLeader {
   readonly lines: string[] = [];
   readonly records: Records;
   readonly scheduler: Scheduler;
@@ -351,7 +351,7 @@
       else if (o.kind === "show" && this.dead.has(o.machine))
         this.take(this.scheduler.shown(o.machine, null, this.now));
       else if (o.kind === "show") this.looked.push(o.machine);
-      else if (o.kind === "bump") this.lines.push("raise the token");
+      else if (o.kind === "raise token") this.lines.push("raise the token");
       else if (o.kind === "resign") this.lines.push(`resign: ${o.why}`);
     }
   }
@@ -367,9 +367,9 @@
     .map((t) => `${t.job}/${t.task}#${t.attempt} ${t.cause ?? t.state}`)
     .join(", ")}]`;
 
-/** A holder with two machines, one in each zone, fenced and recorded. */
-export function ready(): Holder {
-  const h = new Holder();
+/** A leader with two machines, one in each zone, fenced and recorded. */
+export function ready(): TestLeader {
+  const h = new TestLeader();
   h.report("m1a", []);
   h.report("m2b", []);
   h.trace();
@@ -399,7 +399,7 @@
   private readonly reportedAt = new Map<string, number>();
 
   constructor(
-    public holder: Holder,
+    public leader: TestLeader,
     private readonly types: ReadonlyMap<string, string>,
     private readonly fate: Fate,
   ) {
@@ -409,7 +409,7 @@
   /** Time passes in steps of a quarter of a second. */
   run(seconds: number, each: () => void = () => {}): void {
     for (let t = 0; t < seconds; t += 0.25) {
-      const h = this.holder;
+      const h = this.leader;
       for (const o of h.pending.splice(0)) {
         const known = this.on.has(o.machine);
         if (known) for (const c of o.commands) this.execute(o.machine, c);
@@ -437,7 +437,7 @@
   }
 
   private takeReturns(): void {
-    const h = this.holder;
+    const h = this.leader;
     for (const line of h.lines.splice(0)) {
       if (!line.startsWith("cloud return ")) continue;
       const names = line.slice("cloud return ".length).split(" ");
@@ -451,7 +451,7 @@
   }
 
   private turn(name: string): void {
-    const h = this.holder;
+    const h = this.leader;
     let changed = false;
     for (const t of this.on.get(name)!.values()) {
       if (t.task.state === "exited" || h.now < t.endsAt) continue;
@@ -481,9 +481,9 @@
       if (this.running.has(idOf(t.task))) this.twice.push(key);
       this.running.add(idOf(t.task));
       const { job, task: n, attempt } = c;
-      this.starts.push({ job, task: n, attempt, machine: name, at: this.holder.now });
+      this.starts.push({ job, task: n, attempt, machine: name, at: this.leader.now });
       if (fate === "error") this.end(t, "error");
-      else t.endsAt = this.holder.now + fate;
+      else t.endsAt = this.leader.now + fate;
     } else if (c.op === "stop" && known !== undefined && known.task.state !== "exited") {
       this.end(known, "stopped");
     } else if (c.op === "forget") tasks.delete(key);
@@ -491,7 +491,7 @@
 
   private report(name: string): Report {
     const tasks = [...this.on.get(name)!.values()].map((t) => t.task);
-    return this.holder.makeReport(name, tasks, { type: this.types.get(name)! });
+    return this.leader.makeReport(name, tasks, { type: this.types.get(name)! });
   }
 }
 
--- a/tests/limits.test.ts
+++ b/tests/limits.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { decodeSettings } from "../src/wire/settings.js";
-import { Holder, settingsText, spec, task } from "./helpers.js";
+import { settingsText, spec, TestLeader, task } from "./helpers.js";
 
 const LOW = { next: { value_kb: 2, txn_ops: 8, write_rps: 21 } };
 
@@ -29,8 +29,8 @@
 });
 
 /** Machines and a job under way, as a leader under the former limits stored them. */
-function before(tasks: number, machines: number): Holder {
-  const h = new Holder();
+function before(tasks: number, machines: number): TestLeader {
+  const h = new TestLeader();
   const all = () => {
     for (let i = 0; i < machines; i++) h.quietReport(`m-00000${i}a`, []);
     h.tick(0.5);
@@ -40,12 +40,12 @@
   for (let i = 0; i < 4; i++) all();
   return h;
 }
-const placements = (h: Holder) =>
+const placements = (h: TestLeader) =>
   [...h.scheduler.cluster.jobs.get("big")!.placements.values()]
     .map((p) => `${p.task}#${p.attempt} ${p.machine.name}`)
     .sort();
-const successor = (old: Holder, epoch: number, state: object) =>
-  new Holder({ records: old.records, epoch, now: old.now + 5, state: state as never });
+const successor = (old: TestLeader, epoch: number, state: object) =>
+  new TestLeader({ records: old.records, epoch, now: old.now + 5, state: state as never });
 
 test("a job in one large value is cut into parts in one transaction, and every task is kept", () => {
   const old = before(400, 100);
@@ -112,7 +112,7 @@
 
 test("records of machines in large values are moved to small ones, each machine in some at any moment", () => {
   const old = before(1, 90);
-  const names = (h: Holder) =>
+  const names = (h: TestLeader) =>
     new Set([...h.records.groups.values()].flatMap((g) => Object.keys(g.value)));
   assert.equal(names(old).size, 90);
   const h = successor(old, 2, LOW);
@@ -130,7 +130,7 @@
 });
 
 /** Machines do as they are told, and every task is done as soon as it starts, until no job is left. */
-function runToEnd(h: Holder, machines = 10, rounds = 120): void {
+function runToEnd(h: TestLeader, machines = 10, rounds = 120): void {
   const running = new Map<string, Set<string>>();
   for (let round = 0; round < rounds && h.scheduler.cluster.jobs.size > 0; round++) {
     for (const o of h.pending.splice(0)) {
@@ -165,7 +165,7 @@
 const GANG = spec("gang", { team: "maps", kind: "gang", tasks: 100, cpus: 0.1, memoryGb: 0.1 });
 
 test("a large array and a large gang run to their ends under the low limits", () => {
-  const h = new Holder({ state: LOW });
+  const h = new TestLeader({ state: LOW });
   for (let i = 0; i < 10; i++) h.report(`m-00000${i}a`, []);
   h.submit(ARRAY);
   h.submit(GANG);
@@ -180,7 +180,7 @@
     { bytes: 1024, ops: 8 },
     { bytes: 1200, ops: 3 },
   ]) {
-    const h = new Holder({ state: LOW });
+    const h = new TestLeader({ state: LOW });
     for (let i = 0; i < 100; i++) h.report(`m-00000${i}a`, []);
     h.takes = takes;
     h.most.bytes = 0;
--- a/tests/alone.test.ts
+++ b/tests/partitions.test.ts
@@ -7,7 +7,7 @@
 import { Controller } from "../src/controller.js";
 import type { Report } from "../src/core/model.js";
 import { ownDependencies, written } from "../src/core/pipeline.js";
-import { encodeBeat } from "../src/mesh/codec.js";
+import { encodeHeartbeat } from "../src/mesh/codec.js";
 import { Peer } from "../src/net/client.js";
 import { decode, encode } from "../src/wire/msgpack.js";
 import { encodeReport } from "../src/wire/schema.js";
@@ -102,7 +102,7 @@
 
   const { node, peer, report } = await nodeWith(state, cloud.address, 2);
   try {
-    // In contact: workers are sent to the holder, whatever they run.
+    // In contact: workers are sent to the leader, whatever they run.
     assert.deepEqual(await report("web"), { status: 421, body: { groom: "n9" } });
     // Contact for longer than a lease of 2 s. A gap in it, two seconds here, is noticed by and by.
     await sleep(5);
@@ -131,7 +131,7 @@
   }
 });
 
-test("between two holders any node answers for part of a lease, so that workers do not all come back", {
+test("between two leaders any node answers for part of a lease, so that workers do not all come back", {
   timeout: 60_000,
 }, async () => {
   const state = new StateStandIn();
@@ -153,7 +153,7 @@
   }
 });
 
-test("while a new holder settles, the others send on so many workers a second and answer the rest", {
+test("while a new leader settles, the others send on so many workers a second and answer the rest", {
   timeout: 60_000,
 }, async () => {
   const state = new StateStandIn();
@@ -179,7 +179,7 @@
     for (const r of sentOn) assert.equal(r.body.groom, "n9");
     assert.equal((await report("list", { token: 8 })).status, 421, "there is a later term");
     assert.equal((await report("gone")).status, 421, "cancelled, must be gone");
-    // The holder counts leases as over from its own start plus the grace: no answer comes after that.
+    // The leader counts leases as over from its own start plus the grace: no answer comes after that.
     await until("two thirds of a lease are over", async () => Date.now() - lead.at > 4000);
     const late = await hundred();
     assert.equal(late.filter((r) => r.status === 200).length, 0);
@@ -190,14 +190,14 @@
   }
 });
 
-test("a holder leaves users to the others while three are in contact, and takes them back", async () => {
+test("a leader leaves users to the others while three are in contact, and takes them back", async () => {
   const state = new StateStandIn();
   const cloud = new CloudStandIn();
   await Promise.all([state.start(), cloud.start()]);
   const { node, peer, mesh } = await nodeWith(state, cloud.address, 10);
   await until("holds the term", async () => state.keys.has("lead"));
   assert.equal(node.healthy(), true, "alone it serves users");
-  const beat = encodeBeat({ stateOk: true, holds: false, epoch: 1, zone: 1 });
+  const beat = encodeHeartbeat({ stateOk: true, holds: false, epoch: 1, zone: 1 });
   const others = [1, 2, 3].map(() => connect(mesh, "127.0.0.1"));
   const beats = setInterval(() => {
     for (const o of others) if (!o.destroyed) o.write(beat);
--- a/tests/parts.test.ts
+++ b/tests/parts.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { partSize, standsInParts } from "../src/core/parts.js";
 import { KEY, type Records } from "../src/core/records.js";
-import { Holder, spec, Workers } from "./helpers.js";
+import { spec, TestLeader, Workers } from "./helpers.js";
 
 const VALUE = 8 * 1024;
 
@@ -20,18 +20,18 @@
   return Math.max(...values.map((v) => JSON.stringify(v).length));
 }
 
-/** The next holder starts from what is stored; what the one before had in mind is gone. */
-function takeOver(from: Holder, w: Workers, epoch: number): Holder {
-  const h = new Holder({ records: from.records, epoch, now: from.now });
+/** The next leader starts from what is stored; what the one before had in mind is gone. */
+function takeOver(from: TestLeader, w: Workers, epoch: number): TestLeader {
+  const h = new TestLeader({ records: from.records, epoch, now: from.now });
   h.epoch = epoch;
-  w.holder = h;
+  w.leader = h;
   return h;
 }
 
 test("a guest's array of thousands of tasks: two takeovers, none lost, none twice, quota kept", () => {
   const tasks = 2357;
   assert.ok(standsInParts(spec("guest", { tasks }), VALUE));
-  let h = new Holder();
+  let h = new TestLeader();
   // 200 machines of four CPUs; team vision may use 16 CPUs, the guest has no limit.
   const w = new Workers(h, machines(200), () => 9);
   w.run(4);
@@ -45,7 +45,7 @@
   };
   w.run(10, watch);
   assert.ok(w.peak > 700, `${w.peak} at a time: all there is room for`);
-  // A holder that dies between a placement and its write, and one between the write and the start.
+  // A leader that dies between a placement and its write, and one between the write and the start.
   h.storing = false;
   w.run(1, watch);
   h = takeOver(h, w, 2);
@@ -69,7 +69,7 @@
 
 test("a job of a hundred thousand tasks fits at any moment, as does its end", () => {
   const tasks = 100_000;
-  const h = new Holder();
+  const h = new TestLeader();
   const w = new Workers(h, machines(60), () => 6);
   w.run(4);
   h.submit(spec("huge", { team: "maps", tasks }));
@@ -84,7 +84,7 @@
 
 test("the most that a part can hold fits one value", () => {
   const size = partSize(VALUE);
-  const h = new Holder();
+  const h = new TestLeader();
   const w = new Workers(h, machines(size), () => 1000);
   w.run(4);
   // Each task on a machine of its own.
@@ -95,7 +95,7 @@
 });
 
 test("tasks of a large array are placed at a rate, others are not kept by it", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   const w = new Workers(h, machines(400), () => 3);
   w.run(4);
   h.submit(spec("guest", { team: "maps", tasks: 25_000, priority: "low" }));
@@ -113,7 +113,7 @@
 });
 
 test("a late copy of a write cannot bring back a part that is over", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   const w = new Workers(h, machines(40), () => 4);
   w.run(4);
   h.submit(spec("guest", { team: "maps", tasks: 3000 }));
@@ -134,7 +134,7 @@
 });
 
 test("a gang and a service of more tasks than one value holds run whole, also over a takeover", () => {
-  let h = new Holder();
+  let h = new TestLeader();
   const w = new Workers(h, machines(1000), () => 1000);
   w.run(4);
   // One task to a machine: that is 900 names.
--- a/tests/pieces.test.ts
+++ b/tests/pieces.test.ts
@@ -5,9 +5,9 @@
 import { AdaptiveLimit } from "../src/core/limit.js";
 import { Ranges } from "../src/core/ranges.js";
 import { Records } from "../src/core/records.js";
-import { WriteShare } from "../src/core/share.js";
 import { Term } from "../src/core/term.js";
-import { BeatReader, encodeBeat } from "../src/mesh/codec.js";
+import { WriteBudget } from "../src/core/write-budget.js";
+import { encodeHeartbeat, HeartbeatReader } from "../src/mesh/codec.js";
 import { decode, encode } from "../src/wire/msgpack.js";
 import { decodeJob } from "../src/wire/schema.js";
 import { decodeSettings } from "../src/wire/settings.js";
@@ -107,7 +107,7 @@
   assert.ok(again <= 20, `settled at ${again} when back to four`);
 });
 
-test("the holder stops before its lease can lapse, and answers on for a bounded time", () => {
+test("the leader stops before its lease can lapse, and answers on for a bounded time", () => {
   const t = new Term("n0", 4, 17, 9, 3, 100);
   assert.equal(t.acting(102.6), true);
   assert.equal(t.acting(102.7), false);
@@ -132,21 +132,21 @@
 });
 
 test("beats come out whole however the stream is cut, and strangers are turned away", () => {
-  const a = encodeBeat({ stateOk: true, holds: false, epoch: 2 ** 40 + 1, zone: 2 });
-  const b = encodeBeat({ stateOk: false, holds: true, epoch: 0, zone: 0 });
+  const a = encodeHeartbeat({ stateOk: true, holds: false, epoch: 2 ** 40 + 1, zone: 2 });
+  const b = encodeHeartbeat({ stateOk: false, holds: true, epoch: 0, zone: 0 });
   assert.equal(a.toString("hex"), "5001000a01000001000000000102");
-  const reader = new BeatReader();
+  const reader = new HeartbeatReader();
   const got = [...Buffer.concat([a, b, a])].flatMap((byte) => reader.feed(Buffer.from([byte])));
   assert.deepEqual(got, [
     { stateOk: true, holds: false, epoch: 2 ** 40 + 1, zone: 2 },
     { stateOk: false, holds: true, epoch: 0, zone: 0 },
     { stateOk: true, holds: false, epoch: 2 ** 40 + 1, zone: 2 },
   ]);
-  assert.throws(() => new BeatReader().feed(Buffer.from("GET / HTTP/1.1")));
+  assert.throws(() => new HeartbeatReader().feed(Buffer.from("GET / HTTP/1.1")));
 });
 
-test("the holder writes what the others leave, and its own part after a refusal", () => {
-  const share = new WriteShare(30);
+test("the leader writes what the others leave, and its own part after a refusal", () => {
+  const share = new WriteBudget(30);
   assert.ok(share.rate(0) > 25, "nobody else writes");
   // Ten submissions a second, at any node.
   for (let t = 0.25; t <= 10; t += 0.25) {
--- a/tests/pipelines.test.ts
+++ b/tests/pipelines.test.ts
@@ -12,7 +12,7 @@
   otherEnded,
 } from "../src/core/pipeline.js";
 import { KEY, Records } from "../src/core/records.js";
-import { type Holder, ready, spec, task } from "./helpers.js";
+import { ready, spec, type TestLeader, task } from "./helpers.js";
 
 const start = (job: string) => eventName("start", job);
 
@@ -106,8 +106,9 @@
 });
 
 /** Submits through the leader, as the intake stores it. */
-const submit = (h: Holder, id: string, change: Partial<JobSpec> = {}) => h.submit(spec(id, change));
-const machinesOf = (h: Holder, id: string) =>
+const submit = (h: TestLeader, id: string, change: Partial<JobSpec> = {}) =>
+  h.submit(spec(id, change));
+const machinesOf = (h: TestLeader, id: string) =>
   [...(h.scheduler.cluster.jobs.get(id)?.placements.values() ?? [])].map((p) => p.machine.name);
 
 test("a diamond: each starts once every end before it is stored as done, never on a report alone", () => {
--- a/tests/rules.test.ts
+++ b/tests/rules.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { dependenciesOf, written } from "../src/core/pipeline.js";
 import { KEY, Records } from "../src/core/records.js";
-import { Holder, ready, spec, task } from "./helpers.js";
+import { ready, spec, TestLeader, task } from "./helpers.js";
 
 test("ran_twice: a start without an answer is repeated where it was, not elsewhere", () => {
   const h = ready();
@@ -69,7 +69,7 @@
     h.report("m2b", []);
     if (h.trace().includes("start j/0#2")) moved = h.now - began;
   }
-  // A former holder might have answered its reports for 21 s, and then its lease is 21 s.
+  // A former leader might have answered its reports for 21 s, and then its lease is 21 s.
   assert.ok(moved > 42 && moved < 50, `moved after ${moved} s`);
 });
 
@@ -89,7 +89,7 @@
   assert.equal(/forget/.test(t), false);
   assert.match(t, /raise the token/);
   h.epoch = 2;
-  h.take(h.scheduler.bumped({ n: 2, mark: 50 }, h.now));
+  h.take(h.scheduler.tokenRaised({ n: 2, mark: 50 }, h.now));
   assert.equal(h.trace(), "\nsend m1a: fence\nsend m2b: fence\n");
   h.answer([task("j", 0, 1, "exited", "done")]);
   h.report("m1a", [task("j", 0, 1, "exited", "done")]);
@@ -141,7 +141,7 @@
   assert.match(t, /raise the token/);
   assert.equal(/d\/j cancelled/.test(t), false);
   h.epoch = 2;
-  h.take(h.scheduler.bumped({ n: 2, mark: 50 }, h.now));
+  h.take(h.scheduler.tokenRaised({ n: 2, mark: 50 }, h.now));
   h.trace();
   h.answer([]);
   assert.match(h.trace(), /write d\/j cancelled; remove p\/j; remove x\/j/);
@@ -196,7 +196,7 @@
   const old = ready();
   old.submit(spec("j"));
   old.submit(spec("k"));
-  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
   h.epoch = 2;
   assert.equal(h.trace(), "\n\n");
   h.tick();
@@ -213,14 +213,14 @@
 test("takeover: a report with an older token proves nothing", () => {
   const old = ready();
   old.submit(spec("j"));
-  const h = new Holder({ records: old.records, epoch: 2, now: old.now });
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
   h.epoch = 2;
   h.report("m1a", [], { token: 1 });
   assert.equal(/start/.test(h.trace()), false);
   assert.equal(h.scheduler.cluster.usageOf("vision").cpus, 1);
 });
 
-test("a holder that meets a higher token leaves office", () => {
+test("a leader that meets a higher token leaves office", () => {
   const h = ready();
   h.report("m1a", [], { token: 9 });
   assert.match(h.trace(), /resign: machine m1a has seen a higher token/);
@@ -242,7 +242,7 @@
   assert.equal(/stop web/.test(h.trace()), false);
 });
 
-test("a holder that hears hardly any worker leaves office, and gives back no machine", () => {
+test("a leader that hears hardly any worker leaves office, and gives back no machine", () => {
   const h = ready();
   h.report("m3a", []);
   h.report("m4b", []);
@@ -292,7 +292,7 @@
 });
 
 test("before a GPU job was seen a replica takes a GPU machine only when nothing else comes up", () => {
-  const h = new Holder();
+  const h = new TestLeader();
   h.report("m1a", [], { type: "big" });
   h.submit(spec("web", { priority: "production", kind: "service" }));
   assert.equal(/start web/.test(h.trace()), false);
@@ -377,7 +377,7 @@
     { key: KEY.group(1), value: { m1a: ["m1a:9000", "small", "a", false] }, mark: 7 },
   ];
   records.reset(items, 10);
-  const h = new Holder({ records, epoch: 2 });
+  const h = new TestLeader({ records, epoch: 2 });
   h.epoch = 2;
   h.report("m1a", [task("late", 0, 1)], { session: 2 });
   for (let i = 0; i < 4; i++) h.report("m1a", [task("late", 0, 1)], { session: 2 });
--- a/tests/search.test.ts
+++ b/tests/search.test.ts
@@ -1,7 +1,7 @@
 /** A search over orders of events, by fixed seeds: `World` checks the rules after each. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { World } from "./world.js";
+import { World } from "./simulation.js";
 
 const SEEDS = Number(process.env.SEARCH_SEEDS ?? 100);
 const FIRST = Number(process.env.SEARCH_FIRST ?? 1);
--- a/tests/world.ts
+++ b/tests/simulation.ts
@@ -513,7 +513,7 @@
         this.later(0.2, () => back(() => l.scheduler.rented(o, "no capacity", this.now)));
       } else if (o.kind === "list") {
         this.later(0.2, () => back(() => l.scheduler.list(this.list(), this.now)));
-      } else if (o.kind === "bump") this.raise(l, back);
+      } else if (o.kind === "raise token") this.raise(l, back);
       else if (o.kind === "resign") this.lose(o.why);
       else if (o.kind === "log" && NOTED.has(o.message)) {
         this.note(`${o.message} ${Object.values(o.fields).join(" ")}`);
@@ -579,7 +579,7 @@
         l.epochMark = l.records.epoch.mark;
         this.note(`token ${n}`);
       }
-      back(() => l.scheduler.bumped(ok ? { n, mark: l.epochMark } : null, this.now));
+      back(() => l.scheduler.tokenRaised(ok ? { n, mark: l.epochMark } : null, this.now));
     });
   }
 
--- a/tests/storm.test.ts
+++ b/tests/storm.test.ts
@@ -1,7 +1,7 @@
 /** Users ask far more often than they did: what else comes in is still answered. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { buildServer, type Desk } from "../src/api/server.js";
+import { type ApiBackend, buildServer } from "../src/api/server.js";
 import { AdaptiveLimit } from "../src/core/limit.js";
 import type { JobView } from "../src/core/model.js";
 import { encode } from "../src/wire/msgpack.js";
@@ -26,7 +26,7 @@
   let storm = true;
   let leaves = false;
   const view: JobView = { id: "run-1", state: "queued", done: 0, running: 0 };
-  const desk: Desk = {
+  const backend: ApiBackend = {
     healthy: () => true,
     leavesUsers: () => leaves,
     read: () => (storm ? new Promise((r) => asked.push(r)) : Promise.resolve(view)),
@@ -40,9 +40,9 @@
     report: () => ({ kind: "answer", token: 1, commands: [] }),
     elsewhere: () => null,
   };
-  const app = buildServer(desk, {
+  const app = buildServer(backend, {
     questions: new AdaptiveLimit(8, 8, 1),
-    wishes: new AdaptiveLimit(8, 8, 1),
+    mutations: new AdaptiveLimit(8, 8, 1),
     now: () => 0,
     retryAfterS: 1,
     patienceS: 1,
@@ -72,7 +72,7 @@
   // They come back over several seconds, each told when.
   const after = refused.map((r) => Number(r.headers["retry-after"]));
   for (const s of [1, 2, 3]) assert.ok(after.filter((x) => x === s).length > 100, `${s} s`);
-  // A holder that leaves users to others still answers, and closes the connection with it.
+  // A leader that leaves users to others still answers, and closes the connection with it.
   leaves = true;
   const last = await post("/api/jobs", jobBody({ nameId: "run-9" }));
   assert.deepEqual([last.statusCode, last.headers.connection], [201, "close"]);
--- a/tests/upgrade.test.ts
+++ b/tests/upgrade.test.ts
@@ -8,9 +8,9 @@
 import { z } from "zod";
 import type { JobSpec } from "../src/core/model.js";
 import { Records } from "../src/core/records.js";
-import { BeatReader, encodeBeat } from "../src/mesh/codec.js";
+import { encodeHeartbeat, HeartbeatReader } from "../src/mesh/codec.js";
 import type { Item } from "../src/wire/state.js";
-import { Holder, spec, task } from "./helpers.js";
+import { spec, TestLeader, task } from "./helpers.js";
 
 const file = new URL("../../../tests/traces/production.json", import.meta.url);
 const trace = (): Item[] => JSON.parse(readFileSync(file, "utf8")) as Item[];
@@ -47,10 +47,10 @@
     ),
   );
 
-function takeOver(items: Item[], state = {}): Holder {
+function takeOver(items: Item[], state = {}): TestLeader {
   const records = new Records();
   records.reset(items, 100);
-  return new Holder({ records, epoch: 2, state });
+  return new TestLeader({ records, epoch: 2, state });
 }
 
 test("the recorded values have the shapes that are held against this version's", () => {
@@ -119,6 +119,6 @@
 test("beats between controllers are the bytes that production sends and reads", () => {
   const beat = { stateOk: true, holds: true, epoch: 258, zone: 1 };
   const recorded = "5001000a0300000000000001" + "02" + "01";
-  assert.equal(encodeBeat(beat).toString("hex"), recorded);
-  assert.deepEqual(new BeatReader().feed(Buffer.from(recorded, "hex")), [beat]);
+  assert.equal(encodeHeartbeat(beat).toString("hex"), recorded);
+  assert.deepEqual(new HeartbeatReader().feed(Buffer.from(recorded, "hex")), [beat]);
 });
