--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -63,6 +63,25 @@
   readonly took: (what: string, seconds: number, status: number) => void;
 }
 
+const send = (reply: FastifyReply, status: number, body: unknown): FastifyReply =>
+  reply.code(status).header("content-type", "application/msgpack").send(encode(body));
+
+function unpack(body: unknown): unknown {
+  if (!Buffer.isBuffer(body) || body.length === 0) return undefined;
+  try {
+    return decode(body);
+  } catch {
+    return undefined;
+  }
+}
+
+/** The id that a body names, if it is of a form that ids have. */
+function idOf(body: unknown): string | null {
+  const id = (body as { nameId?: unknown } | null | undefined)?.nameId;
+  return typeof id === "string" && idIsValid(id) ? id : null;
+}
+
+/** The server for users, workers and health checks; it listens to nothing yet. */
 export function buildServer(backend: ApiBackend, options: ServerOptions): FastifyInstance {
   const app = Fastify({
     logger: false,
@@ -73,121 +92,125 @@
   });
   app.removeAllContentTypeParsers();
   app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
+  app.setNotFoundHandler((_req, reply) => send(reply, 404, { error: "no such path" }));
+  new Routes(app, backend, options).register();
+  return app;
+}
 
-  const send = (reply: FastifyReply, status: number, body: unknown): FastifyReply =>
-    reply.code(status).header("content-type", "application/msgpack").send(encode(body));
-  const refuse = (reply: FastifyReply, status: number, error: string, laterS = 0): FastifyReply => {
-    reply.header("retry-after", String(Math.max(1, Math.ceil(options.retryAfterS)) + laterS));
+class Routes {
+  /** Requests that were refused for being too many: each is told to come back in its turn. */
+  private refusedAsBusy = 0;
+
+  constructor(
+    private readonly app: FastifyInstance,
+    private readonly backend: ApiBackend,
+    private readonly options: ServerOptions,
+  ) {}
+
+  register(): void {
+    const { app, backend, options } = this;
+    app.setErrorHandler((error: Error & { statusCode?: number }, _req, reply) => {
+      const status = error.statusCode ?? 500;
+      if (status >= 500) {
+        options.fault(error);
+        this.refuse(reply, 503, "trouble");
+      } else send(reply, status === 413 ? 400 : status, { error: error.message });
+    });
+    app.get(PATH.health, (_req, reply) =>
+      backend.healthy() ? send(reply, 200, { ok: true }) : send(reply, 503, { ok: false }),
+    );
+    app.post(PATH.jobs, (req, reply) =>
+      this.limited(options.mutations, reply, () => this.submit(unpack(req.body), reply)),
+    );
+    app.get<{ Params: { id: string } }>(`${PATH.jobs}/:id`, (req, reply) =>
+      this.limited(options.questions, reply, () => this.query(req.params.id, reply)),
+    );
+    app.post<{ Params: { id: string } }>(`${PATH.jobs}/:id/${PATH.cancel}`, (req, reply) =>
+      this.cancel(req.params.id, reply),
+    );
+    // After a takeover every worker comes here once: it is sent on before its report is read.
+    const sendOn = (_req: unknown, reply: FastifyReply, next: () => void): void => {
+      const leader = backend.elsewhere();
+      if (leader === null) next();
+      else send(reply, 421, encodeRedirect(leader));
+    };
+    app.post(PATH.report, { onRequest: sendOn }, (req, reply) =>
+      this.report(unpack(req.body), reply),
+    );
+  }
+
+  /** Refuses at once, and tells when to come back. */
+  private refuse(reply: FastifyReply, status: number, error: string, laterS = 0): FastifyReply {
+    const { retryAfterS } = this.options;
+    reply.header("retry-after", String(Math.max(1, Math.ceil(retryAfterS)) + laterS));
     // Connections are not moved between nodes: one that we cannot serve is better opened anew.
     if (status === 503) reply.header("connection", "close");
     return send(reply, status, { error });
-  };
-  const unpack = (body: unknown): unknown => {
-    if (!Buffer.isBuffer(body) || body.length === 0) return undefined;
-    try {
-      return decode(body);
-    } catch {
-      return undefined;
-    }
-  };
+  }
 
   /** Past the limit users' requests are refused at once, and told to come back in turns. */
-  let turned = 0;
-  const limited = async <T>(
+  private async limited<T>(
     limit: AdaptiveLimit,
     reply: FastifyReply,
     work: () => Promise<T>,
-  ): Promise<T | FastifyReply> => {
-    if (!limit.enter()) return refuse(reply, 429, "busy", turned++ % TURNS);
-    const began = options.now();
+  ): Promise<T | FastifyReply> {
+    if (!limit.enter()) return this.refuse(reply, 429, "busy", this.refusedAsBusy++ % TURNS);
+    const began = this.options.now();
     // A connection closed with its answer is not reset later with a request on its way.
-    if (backend.leavesUsers()) reply.header("connection", "close");
+    if (this.backend.leavesUsers()) reply.header("connection", "close");
     try {
       return await work();
     } finally {
-      const tookS = options.now() - began;
+      const tookS = this.options.now() - began;
       limit.leave(tookS);
-      options.took(limit === options.questions ? "question" : "wish", tookS, reply.statusCode);
+      const what = limit === this.options.questions ? "question" : "mutation";
+      this.options.took(what, tookS, reply.statusCode);
     }
-  };
-
-  app.setErrorHandler((error: Error & { statusCode?: number }, _req, reply) => {
-    const status = error.statusCode ?? 500;
-    if (status >= 500) {
-      options.fault(error);
-      refuse(reply, 503, "trouble");
-    } else send(reply, status === 413 ? 400 : status, { error: error.message });
-  });
-  app.setNotFoundHandler((_req, reply) => send(reply, 404, { error: "no such path" }));
+  }
+
+  /** Answers with the state of a job that is known, or that nobody can tell; null: it never was accepted. */
+  private async answerKnown(id: string, reply: FastifyReply): Promise<FastifyReply | null> {
+    const known = await this.backend.read(id);
+    if (known === "unavailable") return this.refuse(reply, 503, "unavailable");
+    return known === null ? null : send(reply, 200, encodeView(known, true));
+  }
+
+  private async submit(body: unknown, reply: FastifyReply): Promise<FastifyReply> {
+    const spec = decodeJob(body);
+    if (spec === null) {
+      // A retry of an accepted job is answered with its state, whatever its body says.
+      const id = idOf(body);
+      const answered = id === null ? null : await this.answerKnown(id, reply);
+      return answered ?? send(reply, 400, { error: "malformed" });
+    }
+    const verdict = this.backend.judge(spec);
+    if (verdict !== "fits") {
+      const answered = await this.answerKnown(spec.id, reply);
+      if (answered !== null) return answered;
+      if (verdict === "unknown") return this.refuse(reply, 503, "machine types unknown");
+      return send(reply, 422, { error: "can never run" });
+    }
+    const result = await this.backend.submit(spec);
+    if (result === "ok") {
+      const accepted: JobView = { id: spec.id, state: "queued", done: 0, running: 0 };
+      return send(reply, 201, encodeView(accepted, false));
+    }
+    if (result === "never") return send(reply, 422, { error: "can never run" });
+    const answered = result === "known" ? await this.answerKnown(spec.id, reply) : null;
+    return answered ?? this.refuse(reply, 503, "unavailable");
+  }
+
+  private async query(id: string, reply: FastifyReply): Promise<FastifyReply> {
+    const answered = idIsValid(id) ? await this.answerKnown(id, reply) : null;
+    return answered ?? send(reply, 404, { error: "no such job" });
+  }
 
-  app.get(PATH.health, (_req, reply) =>
-    backend.healthy() ? send(reply, 200, { ok: true }) : send(reply, 503, { ok: false }),
-  );
-
-  app.post(PATH.jobs, (req, reply) =>
-    limited(options.mutations, reply, async () => {
-      const body = unpack(req.body);
-      const spec = decodeJob(body);
-      if (spec === null) {
-        // A retry of an accepted job is answered with its state, whatever its body says.
-        const id = (body as { nameId?: unknown } | null | undefined)?.nameId;
-        if (typeof id === "string" && idIsValid(id)) {
-          const known = await backend.read(id);
-          if (known === "unavailable") return refuse(reply, 503, "unavailable");
-          if (known !== null) return send(reply, 200, encodeView(known, true));
-        }
-        return send(reply, 400, { error: "malformed" });
-      }
-      const verdict = backend.judge(spec);
-      if (verdict !== "fits") {
-        const known = await backend.read(spec.id);
-        if (known === "unavailable") return refuse(reply, 503, "unavailable");
-        if (known !== null) return send(reply, 200, encodeView(known, true));
-        if (verdict === "unknown") return refuse(reply, 503, "machine types unknown");
-        return send(reply, 422, { error: "can never run" });
-      }
-      const result = await backend.submit(spec);
-      if (result === "ok") {
-        return send(
-          reply,
-          201,
-          encodeView({ id: spec.id, state: "queued", done: 0, running: 0 }, false),
-        );
-      }
-      if (result === "never") return send(reply, 422, { error: "can never run" });
-      if (result === "known") {
-        const known = await backend.read(spec.id);
-        if (known !== null && known !== "unavailable")
-          return send(reply, 200, encodeView(known, true));
-      }
-      return refuse(reply, 503, "unavailable");
-    }),
-  );
-
-  app.get<{ Params: { id: string } }>(`${PATH.jobs}/:id`, (req, reply) =>
-    limited(options.questions, reply, async () => {
-      const { id } = req.params;
-      if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
-      const known = await backend.read(id);
-      if (known === "unavailable") return refuse(reply, 503, "unavailable");
-      if (known === null) return send(reply, 404, { error: "no such job" });
-      return send(reply, 200, encodeView(known, true));
-    }),
-  );
-
-  app.post<{ Params: { id: string } }>(`${PATH.jobs}/:id/${PATH.cancel}`, async (req, reply) => {
-    const { id } = req.params;
+  private async cancel(id: string, reply: FastifyReply): Promise<FastifyReply> {
+    const { options, backend } = this;
     const deadline = options.now() + options.patienceS;
-    const answered = await limited(options.mutations, reply, async () => {
-      if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
-      const known = await backend.read(id);
-      if (known === "unavailable") return refuse(reply, 503, "unavailable");
-      if (known === null) return send(reply, 404, { error: "no such job" });
-      if (known.state === "done" || known.state === "cancelled")
-        return send(reply, 200, encodeView(known, false));
-      if ((await backend.cancel(id)) === "unavailable") return refuse(reply, 503, "unavailable");
-      return null;
-    });
+    const answered = await this.limited(options.mutations, reply, () =>
+      this.storeCancellation(id, reply),
+    );
     if (answered !== null) return answered;
     // How long machines take to be rid of the tasks says nothing about how busy this node is: the
     // limit does not measure it.
@@ -195,24 +218,29 @@
     if (ended !== null) return send(reply, 200, encodeView(ended, false));
     reply.header("retry-after", String(Math.max(1, Math.ceil(options.retryAfterS))));
     return send(reply, 503, { error: "not over yet" });
-  });
+  }
+
+  /** Null: the cancellation is stored, and the job's end is to be waited for. */
+  private async storeCancellation(id: string, reply: FastifyReply): Promise<FastifyReply | null> {
+    if (!idIsValid(id)) return send(reply, 404, { error: "no such job" });
+    const known = await this.backend.read(id);
+    if (known === "unavailable") return this.refuse(reply, 503, "unavailable");
+    if (known === null) return send(reply, 404, { error: "no such job" });
+    if (known.state === "done" || known.state === "cancelled") {
+      return send(reply, 200, encodeView(known, false));
+    }
+    const stored = await this.backend.cancel(id);
+    return stored === "unavailable" ? this.refuse(reply, 503, "unavailable") : null;
+  }
 
-  // After a takeover every worker comes here once: it is sent on before its report is read.
-  const sendOn = (_req: unknown, reply: FastifyReply, next: () => void): void => {
-    const leader = backend.elsewhere();
-    if (leader === null) next();
-    else send(reply, 421, encodeRedirect(leader));
-  };
-  app.post(PATH.report, { onRequest: sendOn }, (req, reply) => {
-    const report = decodeReport(unpack(req.body));
+  private report(body: unknown, reply: FastifyReply): FastifyReply {
+    const report = decodeReport(body);
     if (report === null) return send(reply, 400, { error: "malformed" });
-    const answer = backend.report(report);
+    const answer = this.backend.report(report);
     if (answer.kind === "answer") {
       return send(reply, 200, encodeCommands(answer.token, null, answer.commands));
     }
     if (answer.kind === "elsewhere") return send(reply, 421, encodeRedirect(answer.leader));
-    return refuse(reply, 503, "unavailable");
-  });
-
-  return app;
+    return this.refuse(reply, 503, "unavailable");
+  }
 }
--- a/src/core/machine-monitor.ts
+++ b/src/core/machine-monitor.ts
@@ -25,7 +25,7 @@
 
   /** Silent machines: look, then give them up to the cloud, or wait their lease out. */
   watchMachines(now: number): void {
-    const { reportS, leaseS } = this.context.settings;
+    const { reportS } = this.context.settings;
     const up = [...this.context.cluster.machines.values()].filter(
       (m) => m.state === "up" || m.state === "returning",
     );
@@ -34,6 +34,26 @@
     this.watchedAt = now;
     if (overloaded) this.watchAfter = now + reportS / 3;
     if (now < this.watchAfter) return;
+    this.noteOverdueZones(up, now);
+    if (this.hearsHardlyAny(up, now)) return;
+    // Those in time need no look; of the others, those that run replicas come first.
+    const late: Machine[] = [];
+    for (const m of up) {
+      const quiet = now - m.lastHeard;
+      if (quiet > 0.8 * reportS || m.deafSince !== null) late.push(m);
+      if (m.drain !== null && m.placements.size === 0) this.fleet.askReturn(m, m.drain);
+    }
+    for (const m of [...late.filter(serves), ...late.filter((x) => !serves(x))]) {
+      this.probeIfDue(m, now);
+      this.giveUpIfSilent(m, up.length, now);
+      this.endLapsedSession(m, now);
+    }
+    this.fleet.returnLate(now);
+  }
+
+  /** Notes the zones of which so many machines are overdue that it says nothing against any of them. */
+  private noteOverdueZones(up: readonly Machine[], now: number): void {
+    const { reportS } = this.context.settings;
     // When many are overdue at once it is more likely us than them. Reports come within 1.25
     // intervals, and those that fell silent together are all overdue before the first is given up.
     // A zone that is cut off as a whole says nothing against the machines of another.
@@ -51,8 +71,17 @@
       const many = z.overdue > Math.max(2, z.all / 4) || overdueInAll > Math.max(2, up.length / 2);
       if (many) this.zoneDoubtedAt.set(zone, now);
     }
-    const believable = (m: Machine): boolean =>
-      now - (this.zoneDoubtedAt.get(m.zone) ?? Number.NEGATIVE_INFINITY) > 2 * reportS;
+  }
+
+  /** Its zone was not overdue as a whole lately, so its silence is its own. */
+  private believable(m: Machine, now: number): boolean {
+    const overdueAt = this.zoneDoubtedAt.get(m.zone) ?? Number.NEGATIVE_INFINITY;
+    return now - overdueAt > 2 * this.context.settings.reportS;
+  }
+
+  /** Leaves the term if hardly any worker is heard. */
+  private hearsHardlyAny(up: readonly Machine[], now: number): boolean {
+    const { reportS } = this.context.settings;
     // Hardly anything is heard, and time enough to hear: another node may be better placed.
     const known = up.filter((m) => m.session > 0);
     const heard = known.filter((m) => now - m.lastHeard <= 1.6 * reportS).length;
@@ -62,60 +91,61 @@
       now - this.context.startedAt > 3 * reportS
     ) {
       this.context.out.push({ kind: "resign", why: `hears ${heard} of ${known.length} workers` });
-      return;
-    }
-    // Those in time need no look; of the others, those that run replicas come first.
-    const late: Machine[] = [];
-    for (const m of up) {
-      const quiet = now - m.lastHeard;
-      if (quiet > 0.8 * reportS || m.deafSince !== null) late.push(m);
-      if (m.drain !== null && m.placements.size === 0) this.fleet.askReturn(m, m.drain);
+      return true;
     }
-    for (const m of [...late.filter(serves), ...late.filter((x) => !serves(x))]) {
-      const quiet = now - m.lastHeard;
-      // Late reports, and what does not hear us, are looked after at once. An earlier look finds
-      // the end of a machine sooner, but costs as much as a report: so many a second, and those
-      // that run replicas are worth it most.
-      const overdue = quiet > 1.25 * reportS || m.deafSince !== null;
-      const early = m.ours && quiet > (serves(m) ? 0.8 : 1) * reportS;
-      if (
-        m.state === "up" &&
-        // One that does not know the token yet is told it, which shows as much.
-        m.fenced &&
-        (overdue || early) &&
-        !m.busy &&
-        now >= m.directAfter &&
-        m.address !== "" &&
-        this.dispatch.shows.size < this.dispatch.directs &&
-        (overdue || this.dispatch.probes.take(1, now))
-      ) {
-        this.dispatch.probe(m);
-      }
-      // After a takeover workers must find us first, while we have most to do.
-      const heardAfter = m.ours ? 0 : leaseS / 3;
-      const silent =
-        quiet > 2 * reportS + heardAfter ||
-        (quiet > 1.3 * reportS + heardAfter && m.unanswered >= 2);
-      if (silent && believable(m)) this.giveUp(m, "silent", up.length, now);
-      // It reports, but hears nothing: its lease will end, and what is sent to it is lost.
-      const deaf = m.deafSince !== null && now - m.deafSince > 2 * reportS;
-      if (deaf && believable(m)) this.giveUp(m, "cannot be reached", up.length, now);
-      // What was cancelled must be gone soon, also where no stop arrives.
-      const unreached = quiet > 1.5 * reportS || deaf;
-      if (unreached && holdsCancelled(m)) this.fleet.askReturn(m, "holds a cancelled task");
-      // No cut that anybody waits out lasts so long: its place is better filled anew.
-      if (quiet > this.context.options.keepS + leaseS)
-        this.fleet.askReturn(m, "silent for too long");
-      if (m.placements.size > 0 && now > this.lapse(m)) {
-        // Whatever it does now, its lease is over, and with it every task of that session.
-        for (const p of [...m.placements.values()]) this.dispatch.lost(p, "lease over", now);
-        m.session++;
-        m.seq = -1;
-        m.unansweredStarts.clear();
-        m.ended.clear();
-      }
+    return false;
+  }
+
+  private probeIfDue(m: Machine, now: number): void {
+    const { reportS } = this.context.settings;
+    const quiet = now - m.lastHeard;
+    // Late reports, and what does not hear us, are looked after at once. An earlier look finds
+    // the end of a machine sooner, but costs as much as a report: so many a second, and those
+    // that run replicas are worth it most.
+    const overdue = quiet > 1.25 * reportS || m.deafSince !== null;
+    const early = m.ours && quiet > (serves(m) ? 0.8 : 1) * reportS;
+    if (
+      m.state === "up" &&
+      // One that does not know the token yet is told it, which shows as much.
+      m.fenced &&
+      (overdue || early) &&
+      !m.busy &&
+      now >= m.directAfter &&
+      m.address !== "" &&
+      this.dispatch.shows.size < this.dispatch.directs &&
+      (overdue || this.dispatch.probes.take(1, now))
+    ) {
+      this.dispatch.probe(m);
     }
-    this.fleet.returnLate(now);
+  }
+
+  /** A machine that is silent, or does not hear us, goes back to the cloud. */
+  private giveUpIfSilent(m: Machine, machines: number, now: number): void {
+    const { reportS, leaseS } = this.context.settings;
+    const quiet = now - m.lastHeard;
+    // After a takeover workers must find us first, while we have most to do.
+    const heardAfter = m.ours ? 0 : leaseS / 3;
+    const silent =
+      quiet > 2 * reportS + heardAfter || (quiet > 1.3 * reportS + heardAfter && m.unanswered >= 2);
+    if (silent && this.believable(m, now)) this.giveUp(m, "silent", machines, now);
+    // It reports, but hears nothing: its lease will end, and what is sent to it is lost.
+    const deaf = m.deafSince !== null && now - m.deafSince > 2 * reportS;
+    if (deaf && this.believable(m, now)) this.giveUp(m, "cannot be reached", machines, now);
+    // What was cancelled must be gone soon, also where no stop arrives.
+    const unreached = quiet > 1.5 * reportS || deaf;
+    if (unreached && holdsCancelled(m)) this.fleet.askReturn(m, "holds a cancelled task");
+    // No cut that anybody waits out lasts so long: its place is better filled anew.
+    if (quiet > this.context.options.keepS + leaseS) this.fleet.askReturn(m, "silent for too long");
+  }
+
+  private endLapsedSession(m: Machine, now: number): void {
+    if (m.placements.size === 0 || now <= this.lapse(m)) return;
+    // Whatever it does now, its lease is over, and with it every task of that session.
+    for (const p of [...m.placements.values()]) this.dispatch.lost(p, "lease over", now);
+    m.session++;
+    m.seq = -1;
+    m.unansweredStarts.clear();
+    m.ended.clear();
   }
 
   /**
--- a/src/core/planning/preemption.ts
+++ b/src/core/planning/preemption.ts
@@ -1,5 +1,6 @@
 /** Which running tasks may be stopped to make room for a job, and which of them cost least. */
 import { type LiveJob, type Machine, type Placement, slots } from "../cluster.js";
+import type { JobSpec } from "../model.js";
 import { takesAnyPlace } from "./candidates.js";
 import type { PlanContext } from "./context.js";
 import { boundZone, imageWaitS, machinesThatFit, spreadRoom, typeAllowed } from "./eligibility.js";
@@ -48,17 +49,85 @@
   return (1 + lost) * Math.max(cpus, 0.1) * (kind === "gang" ? tasks : 1);
 }
 
+/** Amounts of a machine. */
+interface Amounts {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+const fits = (spec: JobSpec, a: Amounts): boolean => slots(spec, a.cpus, a.gpus, a.memoryGb) >= 1;
+
+function addTo(a: Amounts, { cpus, gpus, memoryGb }: JobSpec): void {
+  a.cpus += cpus;
+  a.gpus += gpus;
+  a.memoryGb += memoryGb;
+}
+
+/** What is free on a machine, or will be without stopping more. */
+function comingFree(m: Machine): Amounts {
+  const free = { cpus: m.freeCpus, gpus: m.freeGpus, memoryGb: m.freeMemory };
+  for (const p of m.placements.values()) if (p.stop !== null) addTo(free, p.job.spec);
+  return free;
+}
+
+/** With all that may be stopped gone, would a replica there keep a GPU job out? */
+function replicaBlocksGpus(job: LiveJob, m: Machine, reserve: GpuReserve): boolean {
+  if (m.type.gpus <= 0) return false;
+  if (reserve.specs.length === 0) return true;
+  const { cpus, gpus, memoryGb } = m.type;
+  return reserve.specs.some(
+    (g) =>
+      typeAllowed(g, m.type.name, m.zone, m.spot) &&
+      slots(g, cpus - job.spec.cpus, gpus, memoryGb) < slots(g, cpus, gpus, memoryGb),
+  );
+}
+
+/** Room on a machine for one task of a job, by stopping these; the cost is in lost work and image time. */
+interface Room {
+  readonly machine: Machine;
+  readonly victims: Placement[];
+  readonly cost: number;
+}
+
+/** The cheapest tasks to stop on this machine so that one task of the job fits; null: none, or too dear. */
+function roomOn(
+  m: Machine,
+  job: LiveJob,
+  ctx: PlanContext,
+  within: ReadonlySet<string>,
+  below: number,
+): Room | null {
+  let cost = imageWaitS(m, job.spec);
+  if (cost >= below) return null;
+  const free = comingFree(m);
+  const stoppable = [...m.placements.values()].filter((p) => mayPreempt(job, p, ctx, within));
+  const most = { ...free };
+  for (const p of stoppable) addTo(most, p.job.spec);
+  if (!fits(job.spec, most)) return null;
+  stoppable.sort((a, b) => b.job.rank - a.job.rank || lossOf(a, ctx.now) - lossOf(b, ctx.now));
+  const victims: Placement[] = [];
+  for (const p of stoppable) {
+    if (fits(job.spec, free)) break;
+    addTo(free, p.job.spec);
+    victims.push(p);
+    cost += lossOf(p, ctx.now);
+  }
+  return cost < below ? { machine: m, victims, cost } : null;
+}
+
 /** The cheapest set of tasks whose end lets one task of the job in, and where. */
 export function makeRoom(
   job: LiveJob,
   ctx: PlanContext,
   within: ReadonlySet<string>,
   reserve: GpuReserve,
-): { machine: Machine; victims: Placement[] } | null {
+): Room | null {
   if (ctx.cluster.quotaSlots(job.spec) <= 0) return null;
   const room = spreadRoom(job);
   const zone = boundZone(job) ?? (job.heldZone || null);
-  let best: { machine: Machine; victims: Placement[] } | null = null;
+  const sparesGpus = job.spec.kind === "service" && !takesAnyPlace(job, ctx);
+  let best: Room | null = null;
   let bestCost = Infinity;
   for (const m of machinesThatFit(job.spec, ctx)) {
     if (m.weakest <= job.precedence) continue;
@@ -67,57 +136,11 @@
     if (zone !== null && m.zone !== zone) continue;
     if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
     if (job.avoids(m.name, ctx.now)) continue;
-    let cpus = m.freeCpus;
-    let gpus = m.freeGpus;
-    let memory = m.freeMemory;
-    // What is being stopped already will be free without stopping more.
-    for (const p of m.placements.values()) {
-      if (p.stop === null) continue;
-      cpus += p.job.spec.cpus;
-      gpus += p.job.spec.gpus;
-      memory += p.job.spec.memoryGb;
-    }
-    const victims: Placement[] = [];
-    if (job.spec.kind === "service" && !takesAnyPlace(job, ctx)) {
-      // With all that may be stopped gone, would a replica here keep a GPU job out?
-      const empty =
-        reserve.specs.length === 0 ||
-        reserve.specs.some(
-          (g) =>
-            typeAllowed(g, m.type.name, m.zone, m.spot) &&
-            slots(g, m.type.cpus - job.spec.cpus, m.type.gpus, m.type.memoryGb) <
-              slots(g, m.type.cpus, m.type.gpus, m.type.memoryGb),
-        );
-      if (empty && m.type.gpus > 0) continue;
-    }
-    let cost = imageWaitS(m, job.spec);
-    if (cost >= bestCost) continue;
-    const stoppable = [...m.placements.values()].filter((p) => mayPreempt(job, p, ctx, within));
-    let most = cpus;
-    let mostGpus = gpus;
-    let mostMemory = memory;
-    for (const p of stoppable) {
-      most += p.job.spec.cpus;
-      mostGpus += p.job.spec.gpus;
-      mostMemory += p.job.spec.memoryGb;
-    }
-    if (slots(job.spec, most, mostGpus, mostMemory) < 1) continue;
-    const order = stoppable.sort(
-      (a, b) => b.job.rank - a.job.rank || lossOf(a, ctx.now) - lossOf(b, ctx.now),
-    );
-    for (const p of order) {
-      if (slots(job.spec, cpus, gpus, memory) >= 1) break;
-      cpus += p.job.spec.cpus;
-      gpus += p.job.spec.gpus;
-      memory += p.job.spec.memoryGb;
-      victims.push(p);
-      cost += lossOf(p, ctx.now);
-    }
-    if (slots(job.spec, cpus, gpus, memory) < 1) continue;
-    if (cost < bestCost) {
-      best = { machine: m, victims };
-      bestCost = cost;
-    }
+    if (sparesGpus && replicaBlocksGpus(job, m, reserve)) continue;
+    const cheaper: Room | null = roomOn(m, job, ctx, within, bestCost);
+    if (cheaper === null) continue;
+    best = cheaper;
+    bestCost = cheaper.cost;
   }
   return best;
 }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -9,6 +9,7 @@
 import { Dispatch } from "./dispatch.js";
 import { Faults } from "./faults.js";
 import { Fleet } from "./fleet.js";
+import type { Group } from "./groups.js";
 import { JobLifecycle } from "./job-lifecycle.js";
 import { LeaderContext, serves } from "./leader-context.js";
 import { MachineMonitor } from "./machine-monitor.js";
@@ -311,42 +312,8 @@
     now: number,
   ): Output[] {
     this.writing = false;
-    if (outcome === "ok") {
-      if (this.context.valueLimit.reduced) this.context.valueLimit.taken(largestValue(w));
-      for (const { job, version, parts, closed } of w.jobs) {
-        if (version === null) {
-          this.context.log("job over", {
-            job: job.spec.id,
-            state: job.cancelled ? "cancelled" : "done",
-          });
-          this.context.cluster.jobs.delete(job.spec.id);
-          continue;
-        }
-        for (const part of parts) job.stored(part, version, revision);
-        for (const part of closed) job.dropped(part);
-      }
-      for (const { group, version, names } of w.groups) {
-        group.mark = revision;
-        group.saved = Math.max(group.saved, version);
-        for (const name of names) {
-          const m = this.context.cluster.machines.get(name);
-          if (m === undefined || m.stored) continue;
-          m.stored = true;
-          group.fresh--;
-          this.context.needPlan = true;
-        }
-      }
-    } else if (outcome !== "refused") {
-      this.fleet.groups.reread(records);
-      for (const { job } of w.jobs) {
-        const live = records.live.get(job.spec.id);
-        if (live !== undefined) job.reread(live, records.partsOf(job.spec.id));
-        this.jobs.recordChanged(records, job.spec.id, now);
-        if (!records.live.has(job.spec.id) && records.finals.has(job.spec.id)) {
-          this.jobs.drop(job, now);
-        }
-      }
-    }
+    if (outcome === "ok") this.carriedOut(w, revision);
+    else if (outcome !== "refused") this.reread(w, records, now);
     const machines = new Set<Machine>();
     for (const { job } of w.jobs) {
       for (const p of job.everyPlacement()) if (p.state === "planned") machines.add(p.machine);
@@ -354,6 +321,45 @@
     for (const m of machines) this.dispatch.pump(m, now);
     return this.context.flush();
   }
+
+  private carriedOut(w: Write, revision: number): void {
+    if (this.context.valueLimit.reduced) this.context.valueLimit.taken(largestValue(w));
+    for (const { job, version, parts, closed } of w.jobs) {
+      if (version === null) {
+        const state = job.cancelled ? "cancelled" : "done";
+        this.context.log("job over", { job: job.spec.id, state });
+        this.context.cluster.jobs.delete(job.spec.id);
+        continue;
+      }
+      for (const part of parts) job.stored(part, version, revision);
+      for (const part of closed) job.dropped(part);
+    }
+    for (const { group, version, names } of w.groups) {
+      group.mark = revision;
+      group.saved = Math.max(group.saved, version);
+      for (const name of names) this.machineStored(name, group);
+    }
+  }
+
+  private machineStored(name: string, group: Group): void {
+    const m = this.context.cluster.machines.get(name);
+    if (m === undefined || m.stored) return;
+    m.stored = true;
+    group.fresh--;
+    this.context.needPlan = true;
+  }
+
+  /** Whatever became of the write, the records that were read after it tell what is stored. */
+  private reread(w: Write, records: Records, now: number): void {
+    this.fleet.groups.reread(records);
+    for (const { job } of w.jobs) {
+      const { id } = job.spec;
+      const live = records.live.get(id);
+      if (live !== undefined) job.reread(live, records.partsOf(id));
+      this.jobs.recordChanged(records, id, now);
+      if (!records.live.has(id) && records.finals.has(id)) this.jobs.drop(job, now);
+    }
+  }
 }
 
 /** Can any task of the job ever run, and does the job fit its team's limit? */
