--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -9,7 +9,8 @@
 import { type PlanContext, takeSnapshot } from "./planning/context.js";
 import { type GpuReserve, reserveGpus } from "./planning/gpu-reserve.js";
 import { plan } from "./planning/planner.js";
-import { makeRoom, precedenceOf } from "./planning/preemption.js";
+import { precedenceOf } from "./planning/precedence.js";
+import { makeRoom } from "./planning/preemption.js";
 
 /** Passes over all that waits, at most so many in a report interval. */
 const PASSES = 40;
--- a/src/core/planning/gang-placement.ts
+++ b/src/core/planning/gang-placement.ts
@@ -6,6 +6,7 @@
 import type { PlanContext } from "./context.js";
 import { imageWaitS } from "./eligibility.js";
 import type { GpuReserve } from "./gpu-reserve.js";
+import { isGuaranteed } from "./precedence.js";
 
 /** A gang goes out whole and only when nothing of an earlier attempt is left. */
 export function placeGang(
@@ -95,7 +96,7 @@
 function tooLateByFetching(job: LiveJob, fetchS: number, ctx: PlanContext): boolean {
   const { spec } = job;
   const age = (ctx.wallMs - job.countsFrom) / 1000;
-  const within = job.precedence < 20;
+  const within = isGuaranteed(job.precedence);
   const left: number[] = [];
   for (const o of ctx.settings.objectives) {
     if (o.withinS === null || o.withinS <= age) continue;
--- a/src/core/planning/preemption.ts
+++ b/src/core/planning/preemption.ts
@@ -7,16 +7,6 @@
 import type { GpuReserve } from "./gpu-reserve.js";
 import { waitedShare } from "./urgency.js";
 
-/**
- * How strongly a job holds its place, the strongest first: production, then what is within its
- * team's guarantee, then the rest, each by priority. Only the stronger preempts, so two jobs can
- * never stop each other in turn.
- */
-export function precedenceOf(job: LiveJob, within: ReadonlySet<string>): number {
-  if (job.spec.priority === "production") return 0;
-  return (within.has(job.spec.id) ? 10 : 20) + job.rank;
-}
-
 /** May this placement be stopped to make room for the job? */
 function mayPreempt(
   job: LiveJob,
--- a/src/core/planning/queue-order.ts
+++ b/src/core/planning/queue-order.ts
@@ -1,6 +1,7 @@
 /** The order in which waiting jobs are offered room. */
 import type { LiveJob } from "../cluster.js";
 import type { PlanContext } from "./context.js";
+import { beyondGuarantee, isProduction } from "./precedence.js";
 import { starvingOf } from "./starvation.js";
 import { area, type Urgency, urgencyOf } from "./urgency.js";
 
@@ -29,7 +30,7 @@
     if (starving.has(j)) return Math.min(1, j.precedence);
     // Gangs within a guarantee go first while that can still be kept. (In a burst those that were
     // late already went on before all others, in order of arrival, and everybody was late.)
-    return j.inTime || j.precedence < 10 ? j.precedence : 20 + j.rank;
+    return j.inTime || isProduction(j.precedence) ? j.precedence : beyondGuarantee(j.rank);
   };
   return waiting.sort((a, b) => {
     const [ua, ub] = [urgency.get(a)!, urgency.get(b)!];
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -3,6 +3,7 @@
 import type { Cluster, LiveJob } from "./cluster.js";
 import type { Group, Groups } from "./groups.js";
 import type { Part } from "./parts.js";
+import { isGuaranteed } from "./planning/precedence.js";
 import { KEY, type StoredFinal } from "./records.js";
 
 export interface Write {
@@ -91,6 +92,9 @@
   return most;
 }
 
+/** By how many priorities work within a guarantee goes before other work. */
+const GUARANTEE_STEPS = 2;
+
 interface Piece {
   readonly conditions: Condition[];
   readonly changes: Change[];
@@ -185,9 +189,14 @@
  *
  * Among the other placements a higher priority goes before what has waited a little longer, and not before
  * all: in a backlog of urgent gangs, placements of the first steps of pipelines were stored after 30 to 153 s.
+ * What is within its team's guarantee is that much ahead again. (By priority alone, in such a backlog 0.66 of the work
+ * within a guarantee started in time, and 0.78 with the strict order.)
  */
 function writeOrder(cluster: Cluster, priorityLeadS: number): LiveJob[] {
-  const dueAt = (j: LiveJob): number => (j.unstoredSince ?? 0) + j.rank * priorityLeadS;
+  const dueAt = (j: LiveJob): number => {
+    const steps = j.rank + (isGuaranteed(j.precedence) ? 0 : GUARANTEE_STEPS);
+    return (j.unstoredSince ?? 0) + steps * priorityLeadS;
+  };
   const level = (j: LiveJob): number => {
     if (j.recut !== null) return -1;
     if (over(j)) return 1;
