--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -1,8 +1,10 @@
 /** Starts, stops and probes: what goes to each worker, and when. */
 import { Bucket } from "./bucket.js";
-import type { EndedTask, LiveJob, Machine, Placement } from "./cluster.js";
 import type { LeaderContext } from "./leader-context.js";
+import type { LiveJob } from "./live-job.js";
+import type { EndedTask, Machine } from "./machine.js";
 import type { Command } from "./model.js";
+import type { Placement } from "./placement.js";
 
 /** Looks a second, for each core, at machines whose report is not late yet. */
 const PROBES = 40;
--- a/src/core/faults.ts
+++ b/src/core/faults.ts
@@ -1,8 +1,11 @@
 /** Faults of machines and of jobs: who is to blame when tasks fail or are slow. */
-import type { LiveJob, Machine, Placement } from "./cluster.js";
+
 import type { Dispatch } from "./dispatch.js";
 import type { LeaderContext } from "./leader-context.js";
+import type { LiveJob } from "./live-job.js";
+import type { Machine } from "./machine.js";
 import { BEGIN_S, type TaskReport } from "./model.js";
+import type { Placement } from "./placement.js";
 
 /** A task this many times slower than the middle one of its job speaks against its machine. */
 const SLOW_RATIO = 2.5;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,8 +1,10 @@
 /** The machines that the cloud gives: renting, listing and returning them. */
-import type { LiveJob, Machine } from "./cluster.js";
+
 import type { Dispatch } from "./dispatch.js";
 import { Groups } from "./groups.js";
 import type { LeaderContext } from "./leader-context.js";
+import type { LiveJob } from "./live-job.js";
+import type { Machine } from "./machine.js";
 import type { JobSpec, ListedMachine } from "./model.js";
 import {
   lateOfKinds,
--- a/src/core/groups.ts
+++ b/src/core/groups.ts
@@ -5,7 +5,7 @@
  * A late copy of an older write must not take machines out of a group again, so each write is
  * conditional on the mark that the group had.
  */
-import type { Machine } from "./cluster.js";
+import type { Machine } from "./machine.js";
 import { KEY, type Marked, type Records, type StoredGroup, type StoredMachine } from "./records.js";
 
 export class Group {
--- a/src/core/job-lifecycle.ts
+++ b/src/core/job-lifecycle.ts
@@ -2,13 +2,16 @@
  * The life of a job in the leader's hands: read from the records, cancelled, released by the ends of those that it
  * names, and dropped once its own end is stored.
  */
-import { LiveJob, Machine, Placement } from "./cluster.js";
+
 import type { Dispatch } from "./dispatch.js";
 import type { Fleet } from "./fleet.js";
 import type { LeaderContext } from "./leader-context.js";
+import { LiveJob } from "./live-job.js";
+import { Machine } from "./machine.js";
 import { rankOf } from "./model.js";
 import { cutSize, partSizeOf, standsInParts } from "./parts.js";
 import { eventName, excluded, occur, otherEnded } from "./pipeline.js";
+import { Placement } from "./placement.js";
 import { Ranges } from "./ranges.js";
 import { placedIn, type Records, type StoredPlacements } from "./records.js";
 
--- a/src/core/leader-context.ts
+++ b/src/core/leader-context.ts
@@ -1,5 +1,6 @@
 /** What the parts of the leader's state machine share: its view, settings and token, and what it asks for. */
-import { Cluster, Machine } from "./cluster.js";
+import { Cluster } from "./cluster.js";
+import { Machine } from "./machine.js";
 import type { ClusterSettings, JobSpec, MachineType } from "./model.js";
 import type { Output, SchedulerOptions } from "./outputs.js";
 import { ValueLimit } from "./value-limit.js";
--- a/src/core/machine-monitor.ts
+++ b/src/core/machine-monitor.ts
@@ -1,8 +1,9 @@
 /** Watches the machines: who is silent, who is given up, and whose lease is over. */
-import type { Machine } from "./cluster.js";
+
 import type { Dispatch } from "./dispatch.js";
 import type { Fleet } from "./fleet.js";
 import { isKept, type LeaderContext, serves } from "./leader-context.js";
+import type { Machine } from "./machine.js";
 import { CLOCK_DRIFT } from "./model.js";
 
 /** Part of all machines that may be given up as silent in a report interval. */
--- a/src/core/oversized-values.ts
+++ b/src/core/oversized-values.ts
@@ -1,7 +1,8 @@
 /** What becomes of a value that the state service refuses although it keeps the limits that are known. */
-import type { LiveJob } from "./cluster.js";
+
 import type { Fleet } from "./fleet.js";
 import type { LeaderContext } from "./leader-context.js";
+import type { LiveJob } from "./live-job.js";
 import { cutSize, standsInParts } from "./parts.js";
 import { largestValue, type Write } from "./writer.js";
 
--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -1,9 +1,10 @@
 /** A pass over all that waits: placements first, then tasks that are stopped to make room for the rest. */
 import { Bucket } from "./bucket.js";
-import { type LiveJob, slots } from "./cluster.js";
 import type { Dispatch } from "./dispatch.js";
 import type { Fleet } from "./fleet.js";
 import type { LeaderContext } from "./leader-context.js";
+import type { LiveJob } from "./live-job.js";
+import { slots } from "./machine.js";
 import type { MachineMonitor } from "./machine-monitor.js";
 import { acceptable, eventName, occur } from "./pipeline.js";
 import { type PlanContext, takeSnapshot } from "./planning/context.js";
--- a/src/core/planning/array-placement.ts
+++ b/src/core/planning/array-placement.ts
@@ -1,5 +1,5 @@
 /** Placement of arrays and services: as many tasks as there is room for, within what one write can hold. */
-import type { LiveJob } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
 import { placeableInPart } from "../parts.js";
 import { place, take } from "./assignment.js";
 import { type Candidate, candidates } from "./candidates.js";
--- a/src/core/planning/assignment.ts
+++ b/src/core/planning/assignment.ts
@@ -1,6 +1,7 @@
 /** Books tasks on machines that were chosen for them. */
-import { type LiveJob, Placement } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
 import type { Part } from "../parts.js";
+import { Placement } from "../placement.js";
 import type { Candidate } from "./candidates.js";
 import type { PlanContext } from "./context.js";
 import { spreadRoom } from "./eligibility.js";
--- a/src/core/planning/candidates.ts
+++ b/src/core/planning/candidates.ts
@@ -1,5 +1,6 @@
 /** Machines with room for a task of a job, the best first. */
-import { type LiveJob, type Machine, slots } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
+import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
 import type { PlanContext } from "./context.js";
 import { boundZone, imageWaitS, roomOpenTo, typeAllowed } from "./eligibility.js";
--- a/src/core/planning/context.ts
+++ b/src/core/planning/context.ts
@@ -3,7 +3,8 @@
  * of the machines that is taken once a pass.
  */
 import type { Bucket } from "../bucket.js";
-import type { Cluster, Machine } from "../cluster.js";
+import type { Cluster } from "../cluster.js";
+import type { Machine } from "../machine.js";
 import type { ClusterSettings } from "../model.js";
 import { acceptsWork } from "./eligibility.js";
 
--- a/src/core/planning/eligibility.ts
+++ b/src/core/planning/eligibility.ts
@@ -1,5 +1,6 @@
 /** Which machines may take a task of a job, and how long its image would take there. */
-import { type LiveJob, type Machine, slots } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
+import { type Machine, slots } from "../machine.js";
 import type { ClusterSettings, JobSpec } from "../model.js";
 import type { PlanContext } from "./context.js";
 
--- a/src/core/planning/gang-placement.ts
+++ b/src/core/planning/gang-placement.ts
@@ -1,5 +1,6 @@
 /** Placement of gangs: all tasks of an attempt at once, or none. */
-import type { LiveJob, Machine } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
+import type { Machine } from "../machine.js";
 import { BEGIN_S } from "../model.js";
 import { place, take } from "./assignment.js";
 import { type Candidate, candidates } from "./candidates.js";
--- a/src/core/planning/gang-room.ts
+++ b/src/core/planning/gang-room.ts
@@ -1,5 +1,6 @@
 /** Free room that is held for a gang of several machines until all its tasks fit. */
-import { type LiveJob, type Machine, slots } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
+import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
 import type { PlanContext } from "./context.js";
 import { imageWaitS, machinesThatFit, roomOpenTo, typeAllowed } from "./eligibility.js";
--- a/src/core/planning/gang-size-fairness.ts
+++ b/src/core/planning/gang-size-fairness.ts
@@ -7,8 +7,9 @@
  * size began than `MIN_BEGUN_SHARE`, the first jobs in the queue of the size that is furthest behind go before
  * the rest of their class.
  */
-import type { LiveJob } from "../cluster.js";
+
 import { gangSizeKey } from "../gang-starts.js";
+import type { LiveJob } from "../live-job.js";
 import { BEGIN_S } from "../model.js";
 import type { PlanContext } from "./context.js";
 import { fetchTimeS, waitedShare } from "./urgency.js";
--- a/src/core/planning/gpu-reserve.ts
+++ b/src/core/planning/gpu-reserve.ts
@@ -1,5 +1,6 @@
 /** GPU machines that are kept free of other work, so that GPU jobs find them usable. */
-import { type Cluster, type Machine, slots } from "../cluster.js";
+import type { Cluster } from "../cluster.js";
+import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
 import { typeAllowed } from "./eligibility.js";
 
--- a/src/core/planning/planner.ts
+++ b/src/core/planning/planner.ts
@@ -2,7 +2,7 @@
  * One planning pass: which waiting task goes to which machine. It works on the leader's view, which may be
  * stale: a placement counts once it is stored, and workers refuse what does not fit them.
  */
-import type { LiveJob } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
 import { placeTasks } from "./array-placement.js";
 import type { PlanContext } from "./context.js";
 import { placeGang } from "./gang-placement.js";
--- a/src/core/planning/precedence.ts
+++ b/src/core/planning/precedence.ts
@@ -1,5 +1,5 @@
 /** How strongly a job holds its place: production, then what is within a guarantee, then the rest. */
-import type { LiveJob } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
 
 const WITHIN_GUARANTEE = 10;
 const BEYOND_GUARANTEE = 20;
--- a/src/core/planning/preemption.ts
+++ b/src/core/planning/preemption.ts
@@ -1,6 +1,8 @@
 /** Which running tasks may be stopped to make room for a job, and which of them cost least. */
-import { type LiveJob, type Machine, type Placement, slots } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
+import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
+import type { Placement } from "../placement.js";
 import { takesAnyPlace } from "./candidates.js";
 import type { PlanContext } from "./context.js";
 import { boundZone, imageWaitS, machinesThatFit, spreadRoom, typeAllowed } from "./eligibility.js";
--- a/src/core/planning/queue-order.ts
+++ b/src/core/planning/queue-order.ts
@@ -1,5 +1,5 @@
 /** The order in which waiting jobs are offered room. */
-import type { LiveJob } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
 import type { PlanContext } from "./context.js";
 import { beyondGuarantee, isProduction } from "./precedence.js";
 import { starvingOf } from "./starvation.js";
--- a/src/core/planning/starvation.ts
+++ b/src/core/planning/starvation.ts
@@ -1,5 +1,6 @@
 /** Jobs that have waited for too long go first, so that none of any size starves. */
-import { type LiveJob, slots } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
+import { slots } from "../machine.js";
 import { BEGIN_S } from "../model.js";
 import type { PlanContext } from "./context.js";
 import { machinesThatFit, typeAllowed } from "./eligibility.js";
--- a/src/core/planning/urgency.ts
+++ b/src/core/planning/urgency.ts
@@ -1,5 +1,6 @@
 /** How urgent a waiting job is, by the aims that the settings state for it. */
-import { type LiveJob, slots } from "../cluster.js";
+import type { LiveJob } from "../live-job.js";
+import { slots } from "../machine.js";
 import { BEGIN_S } from "../model.js";
 import type { PlanContext } from "./context.js";
 import { typeAllowed } from "./eligibility.js";
--- a/src/core/reconciliation.ts
+++ b/src/core/reconciliation.ts
@@ -1,10 +1,13 @@
 /** Compares what workers report with what was placed on them, and takes in what became of each task. */
-import { type LiveJob, type Machine, Placement, taskKey } from "./cluster.js";
+
 import type { Dispatch } from "./dispatch.js";
 import type { Faults } from "./faults.js";
 import type { Fleet } from "./fleet.js";
 import type { LeaderContext } from "./leader-context.js";
+import type { LiveJob } from "./live-job.js";
+import type { Machine } from "./machine.js";
 import type { Report, TaskReport } from "./model.js";
+import { Placement, taskKey } from "./placement.js";
 
 export class Reconciliation {
   constructor(
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -1,5 +1,7 @@
 /** Which machines to rent, ahead of need and for what waits, and which to give back. */
-import { type Cluster, type LiveJob, type Machine, slots } from "./cluster.js";
+import type { Cluster } from "./cluster.js";
+import type { LiveJob } from "./live-job.js";
+import { type Machine, slots } from "./machine.js";
 import type { ClusterSettings, JobSpec, MachineType } from "./model.js";
 import { typeAllowed } from "./planning/eligibility.js";
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -5,13 +5,14 @@
  * send. It has no clock, socket or randomness of its own. What it wants written is asked for with
  * `nextWrite`, because how much may be written at a time is limited outside.
  */
-import { type Machine, slots, taskKey } from "./cluster.js";
+
 import { Dispatch } from "./dispatch.js";
 import { Faults } from "./faults.js";
 import { Fleet } from "./fleet.js";
 import type { Group } from "./groups.js";
 import { JobLifecycle } from "./job-lifecycle.js";
 import { LeaderContext, serves } from "./leader-context.js";
+import { type Machine, slots } from "./machine.js";
 import { MachineMonitor } from "./machine-monitor.js";
 import type {
   ClusterSettings,
@@ -23,6 +24,7 @@
 } from "./model.js";
 import type { Output, SchedulerOptions, SendOutcome, WriteOutcome } from "./outputs.js";
 import { OversizedValues } from "./oversized-values.js";
+import { taskKey } from "./placement.js";
 import { typeAllowed } from "./planning/eligibility.js";
 import { PlanningPass } from "./planning-pass.js";
 import { isNewer, Reconciliation } from "./reconciliation.js";
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -1,7 +1,8 @@
 /** What goes into the next transaction of the leader, and in which order. */
 import type { Change, Condition } from "../wire/state.js";
-import type { Cluster, LiveJob } from "./cluster.js";
+import type { Cluster } from "./cluster.js";
 import type { Group, Groups } from "./groups.js";
+import type { LiveJob } from "./live-job.js";
 import type { Part } from "./parts.js";
 import { isGuaranteed } from "./planning/precedence.js";
 import { KEY, type StoredFinal } from "./records.js";
