--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -2,7 +2,7 @@
 import { GangStarts } from "./gang-starts.js";
 import type { LiveJob } from "./live-job.js";
 import type { Machine } from "./machine.js";
-import type { JobSpec, Team } from "./model.js";
+import type { JobSpec, MachineType, Team } from "./model.js";
 import type { Placement } from "./placement.js";
 
 const EPSILON = 1e-6;
@@ -47,6 +47,28 @@
     return Math.max(0, n);
   }
 
+  /** Does what is placed keep the team's limit, as far as is known now? */
+  withinLimit(teamName: string): boolean {
+    const team = this.teams.get(teamName);
+    if (team === undefined) return true;
+    const { cpus, gpus } = this.usageOf(teamName);
+    return (
+      (team.cpusMax <= 0 || cpus <= team.cpusMax + EPSILON) &&
+      (team.gpusMax <= 0 || gpus <= team.gpusMax + EPSILON)
+    );
+  }
+
+  /** A machine is of another kind than was thought: what is placed on it counts where it is. */
+  correctMachine(m: Machine, type: MachineType, zone: string, spot: boolean): void {
+    for (const p of m.placements.values()) {
+      p.job.zones.remove(m.zone);
+      p.job.zones.add(zone);
+    }
+    m.type = type;
+    m.zone = zone;
+    m.spot = spot;
+  }
+
   /** Books a placement on its machine and against its team, where it counts until released. */
   add(p: Placement, stray = false): void {
     if (stray) p.job.unrecorded.add(p);
@@ -56,6 +78,7 @@
     if (part.startsWait) p.job.unstoredSince ??= p.placedAt;
     p.job.moved();
     p.machine.placements.set(p.key, p);
+    p.job.zones.add(p.machine.zone);
     const { cpus, gpus, memoryGb } = p.job.spec;
     p.machine.cpusUsed += cpus;
     p.machine.gpusUsed += gpus;
@@ -70,6 +93,7 @@
     if (!p.machine.placements.delete(p.key)) return;
     if (p.job.placements.get(p.task) === p) p.job.placements.delete(p.task);
     p.job.unrecorded.delete(p);
+    p.job.zones.remove(p.machine.zone);
     const { cpus, gpus, memoryGb } = p.job.spec;
     p.machine.cpusUsed -= cpus;
     p.machine.gpusUsed -= gpus;
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -5,6 +5,7 @@
 import type { EndedTask, Machine } from "./machine.js";
 import type { Command } from "./model.js";
 import type { Placement } from "./placement.js";
+import { machineAllowed } from "./placement-rules.js";
 
 /** Looks a second, for each core, at machines whose report is not late yet. */
 const PROBES = 40;
@@ -74,8 +75,7 @@
       const at = { job: p.job.spec.id, task: p.task, attempt: p.attempt };
       if (p.stop !== null) {
         if (p.state === "planned" && p.inFlight === 0 && !m.unansweredStarts.has(p.key)) {
-          // Never sent under this token, and the worker does not know it: it is not there.
-          if (m.fenced && p.session === m.session) this.release(p, now);
+          this.releaseIfNeverSent(p, now);
           continue;
         }
         if (p.state === "loaded" || p.state === "planned") continue;
@@ -85,6 +85,11 @@
         p.stop.sentAt = now;
         out.push({ op: "stop", ...at, graceS: p.stop.graceS });
       } else if (withStarts && this.mayStart(p, m, now)) {
+        const conflict = this.conflictOf(p);
+        if (conflict !== null) {
+          this.takeBack(p, conflict, now);
+          continue;
+        }
         p.state = "sent";
         p.sentAt = now;
         p.inFlight++;
@@ -114,6 +119,37 @@
     );
   }
 
+  /**
+   * The rules once more, with what is known at the moment of the start: since the task was placed, an unrecorded
+   * task may have turned up, a machine may have proved to be of another kind, or a leader before this one may have
+   * placed it wrongly. Returns the rule that the start would break.
+   */
+  private conflictOf(p: Placement): string | null {
+    const { job, machine } = p;
+    if (!machineAllowed(job.spec, machine)) return "its machine is not allowed";
+    if (!job.zones.mayStartIn(machine.zone)) return "its zone is not allowed beside other tasks";
+    if (job.hasOtherAttempt(p)) return "another attempt may be running";
+    if (!this.context.cluster.withinLimit(job.spec.team)) return "its team is over its limit";
+    return null;
+  }
+
+  /**
+   * A placement that no longer agrees with the rules. Where its start may be under way it is stopped, and counts
+   * until it is proven gone; otherwise it is released at once.
+   */
+  private takeBack(p: Placement, why: string, now: number): void {
+    if (p.job.spec.kind === "gang") this.regroup(p.job, why);
+    else this.stop(p, why, 0);
+    this.releaseIfNeverSent(p, now);
+  }
+
+  private releaseIfNeverSent(p: Placement, now: number): void {
+    const m = p.machine;
+    if (p.state !== "planned" || p.inFlight > 0 || m.unansweredStarts.has(p.key)) return;
+    // Never sent under this token, and the worker does not know it: it is not there.
+    if (m.fenced && p.session === m.session) this.release(p, now);
+  }
+
   /**
    * A forgotten attempt could be started again by a late copy of its start. So its end must be
    * stored, and no start of it may be unanswered under the present token.
--- a/src/core/groups.ts
+++ b/src/core/groups.ts
@@ -106,6 +106,16 @@
     this.of.set(m.name, g);
   }
 
+  /** The machine is of another kind than its record says. */
+  correct(m: Machine): void {
+    m.recordChanged = false;
+    const g = this.of.get(m.name);
+    if (g === undefined) return;
+    g.bytes -= JSON.stringify(g.entries.get(m.name)).length + m.name.length + 4;
+    g.add(m.name, [m.address, m.type.name, m.zone, m.spot]);
+    g.version++;
+  }
+
   remove(name: string, stored: boolean): void {
     const g = this.of.get(name);
     if (g === undefined) return;
--- a/src/core/job-lifecycle.ts
+++ b/src/core/job-lifecycle.ts
@@ -12,6 +12,7 @@
 import { cutSize, partSizeOf, standsInParts } from "./parts.js";
 import { eventName, excluded, occur, otherEnded } from "./pipeline.js";
 import { Placement } from "./placement.js";
+import { UNKNOWN_ZONE } from "./placement-rules.js";
 import { Ranges } from "./ranges.js";
 import { placedIn, type Records, type StoredPlacements } from "./records.js";
 
@@ -72,7 +73,7 @@
         // No record of the machine: a stand-in that counts until the cloud says it is gone.
         const type = [...this.context.types.values()][0];
         if (type === undefined) throw new Error("machine types unknown");
-        m = new Machine(name, type, "", false, now);
+        m = new Machine(name, type, UNKNOWN_ZONE, false, now);
         m.state = "up";
         this.context.awaitFirstContact(m);
         this.context.cluster.machines.set(name, m);
--- a/src/core/leader-context.ts
+++ b/src/core/leader-context.ts
@@ -1,7 +1,7 @@
 /** What the parts of the leader's state machine share: its view, settings and token, and what it asks for. */
 import { Cluster } from "./cluster.js";
 import { Machine } from "./machine.js";
-import type { ClusterSettings, JobSpec, MachineType } from "./model.js";
+import type { ClusterSettings, JobSpec, MachineType, Report } from "./model.js";
 import type { Output, SchedulerOptions } from "./outputs.js";
 import { ValueLimit } from "./value-limit.js";
 
@@ -51,15 +51,33 @@
     m.lastRenewed = this.startedAt + this.options.graceS;
   }
 
+  /** The machine of that name, as the cloud or a record describes it. */
   machine(name: string, type: string, zone: string, spot: boolean, now: number): Machine | null {
-    const known = this.cluster.machines.get(name);
-    if (known !== undefined) return known;
     const t = this.types.get(type);
+    const known = this.cluster.machines.get(name);
+    if (known !== undefined) {
+      if (t !== undefined && !known.selfDescribed) this.describe(known, t, zone, spot);
+      return known;
+    }
     if (t === undefined) return null;
     const m = new Machine(name, t, zone, spot, now);
     this.cluster.machines.set(name, m);
     return m;
   }
+
+  /** A worker is the authority on its own machine, whatever was thought of it. */
+  selfDescribed(m: Machine, r: Pick<Report, "type" | "zone" | "spot">): void {
+    m.selfDescribed = true;
+    this.describe(m, this.types.get(r.type) ?? m.type, r.zone, r.spot);
+  }
+
+  private describe(m: Machine, type: MachineType, zone: string, spot: boolean): void {
+    if (m.type.name === type.name && m.zone === zone && m.spot === spot) return;
+    m.recordChanged = m.stored;
+    this.log("machine corrected", { machine: m.name, type: type.name, zone, spot, was: m.zone });
+    this.cluster.correctMachine(m, type, zone, spot);
+    this.needPlan = true;
+  }
 }
 
 export function serves(m: Machine): boolean {
--- a/src/core/live-job.ts
+++ b/src/core/live-job.ts
@@ -7,6 +7,7 @@
 import { fixedBytes, Part } from "./parts.js";
 import { acceptable, eventName, residuals, written } from "./pipeline.js";
 import type { Placement } from "./placement.js";
+import { ZoneOccupancy } from "./placement-rules.js";
 import { Ranges } from "./ranges.js";
 import type { Marked, StoredJob, StoredPart } from "./records.js";
 import { storedPlacements } from "./stored-placements.js";
@@ -44,6 +45,8 @@
   unstoredSince: number | null = null;
   /** Attempts on machines that our records did not hold: they count, and are stopped. */
   readonly unrecorded = new Set<Placement>();
+  /** Zones of all its placements, the unrecorded ones too. */
+  readonly zones: ZoneOccupancy;
   cancelled = false;
   /** By its user; otherwise through one that it needs, and no key of its own says so. */
   calledOff = false;
@@ -84,6 +87,7 @@
     inParts: number | null,
   ) {
     this.spec = stored.j;
+    this.zones = new ZoneOccupancy(stored.j);
     this.submittedAt = stored.at;
     this.rank = rankOf(stored.j.priority);
     this.dueMs = this.ownDueMs;
@@ -253,8 +257,20 @@
     this.pendingKnown = null;
   }
 
+  /** Tasks that wait for a place. One of which an unrecorded attempt may run waits for the end of that. */
   *pending(): Generator<number> {
-    for (const t of this.done.missing(this.spec.tasks)) if (!this.placements.has(t)) yield t;
+    const unrecorded = this.unrecordedTasks();
+    for (const t of this.done.missing(this.spec.tasks)) {
+      if (!this.placements.has(t) && !unrecorded.has(t)) yield t;
+    }
+  }
+  private unrecordedTasks(): ReadonlySet<number> {
+    return new Set([...this.unrecorded].map((p) => p.task));
+  }
+  /** Another attempt of this task may be on a machine. */
+  hasOtherAttempt(p: Placement): boolean {
+    for (const other of this.unrecorded) if (other !== p && other.task === p.task) return true;
+    return this.placements.get(p.task) !== p;
   }
   get pendingCount(): number {
     this.pendingKnown ??= this.countPending();
@@ -263,6 +279,9 @@
   private countPending(): number {
     let placed = 0;
     for (const t of this.placements.keys()) if (!this.done.has(t)) placed++;
+    for (const t of this.unrecordedTasks()) {
+      if (t < this.spec.tasks && !this.done.has(t) && !this.placements.has(t)) placed++;
+    }
     return this.spec.tasks - this.done.size - placed;
   }
 
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -45,6 +45,8 @@
    */
   deafSince: number | null = null;
   stored = false;
+  /** Its stored record describes it wrongly. */
+  recordChanged = false;
   readonly placements = new Map<string, Placement>();
   readonly ended = new Map<string, EndedTask>();
   /** Starts sent without an answer, by the token they carried: they may still arrive. */
@@ -66,11 +68,14 @@
   gpusUsed = 0;
   memoryUsed = 0;
 
+  /** Its worker has said what kind of machine it is, which nothing else overrules. */
+  selfDescribed = false;
+
   constructor(
     readonly name: string,
-    readonly type: MachineType,
-    readonly zone: string,
-    readonly spot: boolean,
+    public type: MachineType,
+    public zone: string,
+    public spot: boolean,
     now: number,
   ) {
     this.idleSince = now;
--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -12,6 +12,7 @@
 import { plan } from "./planning/planner.js";
 import { precedenceOf } from "./planning/precedence.js";
 import { makeRoom } from "./planning/preemption.js";
+import { ZoneMoves } from "./zone-moves.js";
 
 /** Passes over all that waits, at most so many in a report interval. */
 const PASSES = 40;
@@ -32,12 +33,16 @@
   /** How many tasks of large arrays are placed: what they cost is not to delay others. */
   private readonly bulk = new Bucket(0, 0);
 
+  private readonly moves: ZoneMoves;
+
   constructor(
     private readonly context: LeaderContext,
     private readonly dispatch: Dispatch,
     private readonly fleet: Fleet,
     private readonly monitor: MachineMonitor,
-  ) {}
+  ) {
+    this.moves = new ZoneMoves(dispatch);
+  }
 
   /** Runs a pass if it is time for one. */
   runIfDue(now: number, wallMs: number): void {
@@ -89,6 +94,7 @@
     this.setBulk();
     const ctx = this.planContext(now, wallMs);
     this.fleet.waiting = plan(ctx, within, reserve, (job) => this.acceptStart(job));
+    for (const job of this.fleet.waiting) this.moves.consider(job, ctx.snapshot, now);
     // Nothing is stopped for what waits while most room is not in sight.
     if (this.monitor.settling(now)) return;
     // Each look for room goes over all machines: what a pass does not come to, the next one does.
@@ -125,14 +131,15 @@
     if (job.spec.kind === "gang" && job.present > 0) return;
     // Room made here and there is of no use to tasks that must start together in one zone.
     if (job.spec.kind === "gang" && job.spec.tasks > 1 && job.heldZone === null) return;
+    const zones = job.zones.copy();
     for (const m of this.context.cluster.machines.values()) {
       if (m.reservedFor?.job === job) {
-        need -= slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
+        need -= zones.takeRoom(m.zone, slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb));
       }
     }
     for (let i = 0; need > 0 && i < MACHINES_A_JOB && searches.left > 0; i++) {
       searches.left--;
-      const found = makeRoom(job, ctx, within, reserve);
+      const found = makeRoom(job, zones, ctx, within, reserve);
       if (found === null) {
         job.roomAfter = ctx.now + this.context.settings.reportS / 4;
         return;
@@ -146,10 +153,9 @@
         this.dispatch.stopWithMates(v, `room for ${job.spec.id}`, v.job.spec.saveS);
       }
       this.dispatch.pump(found.machine, ctx.now);
-      need -= Math.max(
-        1,
-        slots(job.spec, found.machine.freeCpus, found.machine.freeGpus, found.machine.freeMemory),
-      );
+      const { zone, freeCpus, freeGpus, freeMemory } = found.machine;
+      const fits = slots(job.spec, freeCpus, freeGpus, freeMemory);
+      need -= zones.takeRoom(zone, Math.max(1, fits));
     }
   }
 }
--- a/src/core/planning/array-placement.ts
+++ b/src/core/planning/array-placement.ts
@@ -9,7 +9,7 @@
 export function placeTasks(job: LiveJob, ctx: PlanContext, reserve: GpuReserve): void {
   const quota = ctx.cluster.quotaSlots(job.spec);
   if (quota <= 0 || job.pendingCount === 0 || job.onTrial) return;
-  const on = candidates(job, ctx, reserve);
+  const on = inOneZone(job, candidates(job, ctx, reserve));
   if (on.length === 0) return;
   const most =
     job.partSize === null ? fittingValue(job, on, quota, ctx) : fittingParts(job, on, ctx);
@@ -21,6 +21,24 @@
   if (job.partSize !== null) ctx.bulk.force(placed, ctx.now);
 }
 
+/**
+ * If all tasks must share a zone and none is placed yet: the machines of the zone that takes most of them, and of
+ * those alike in this, the zone of the best machine. A service needs places for all its replicas in the end.
+ * (The machines of all zones were offered, and the tasks of one pass stood in several.)
+ */
+function inOneZone(job: LiveJob, on: readonly Candidate[]): readonly Candidate[] {
+  const { oneZone, kind, tasks } = job.spec;
+  if (!oneZone) return on;
+  const want = kind === "service" ? tasks : job.pendingCount;
+  const fits = new Map<string, number>();
+  for (const c of on) {
+    const { zone } = c.machine;
+    fits.set(zone, Math.min(want, (fits.get(zone) ?? 0) + c.fits));
+  }
+  const [best] = [...fits].sort((a, b) => b[1] - a[1])[0] ?? [];
+  return on.filter((c) => c.machine.zone === best);
+}
+
 /** Tasks that wait for a place, no more of a part than its value can hold while they are under way. */
 function* placeable(job: LiveJob, ctx: PlanContext): Generator<number> {
   const size = job.partSize;
--- a/src/core/planning/assignment.ts
+++ b/src/core/planning/assignment.ts
@@ -4,18 +4,16 @@
 import { Placement } from "../placement.js";
 import type { Candidate } from "./candidates.js";
 import type { PlanContext } from "./context.js";
-import { spreadRoom } from "./eligibility.js";
 
 export function place(job: LiveJob, tasks: number[], on: Candidate[], ctx: PlanContext): number {
-  const room = spreadRoom(job);
-  const before = job.version;
   const together = job.main.attempt;
   /** Versions of the job that hold these placements, by the part they stand in. */
   const versions = new Map<Part, number>();
   let next = 0;
   for (const c of on) {
     let n = Math.min(c.fits, tasks.length - next);
-    for (; n > 0 && room(c.machine.zone) > placedIn(job, c.machine.zone, before); n--) {
+    // Each booking changes what the job's other tasks leave of the zones.
+    for (; n > 0 && job.zones.roomIn(c.machine.zone) > 0; n--) {
       const task = tasks[next]!;
       const part = job.partOf(task);
       if (next === 0 && (part === job.main || job.spec.kind === "gang")) {
@@ -52,14 +50,6 @@
   return next;
 }
 
-/** `spreadRoom` counted what was there before this pass; this counts what the pass added. */
-function placedIn(job: LiveJob, zone: string, before: number): number {
-  if (!job.spec.spread) return 0;
-  let n = 0;
-  for (const p of job.placements.values()) if (p.version > before && p.machine.zone === zone) n++;
-  return n;
-}
-
 export function take(pending: Iterable<number>, limit: number): number[] {
   const out: number[] = [];
   for (const t of pending) {
--- a/src/core/planning/candidates.ts
+++ b/src/core/planning/candidates.ts
@@ -2,8 +2,9 @@
 import type { LiveJob } from "../live-job.js";
 import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
+import { machineAllowed } from "../placement-rules.js";
 import type { PlanContext } from "./context.js";
-import { boundZone, imageWaitS, roomOpenTo, typeAllowed } from "./eligibility.js";
+import { imageWaitS, roomOpenTo } from "./eligibility.js";
 import { blocksGpuJob, type GpuReserve } from "./gpu-reserve.js";
 
 /** Lower is better; in seconds of waiting, more or less. */
@@ -36,12 +37,10 @@
 
 export function candidates(job: LiveJob, ctx: PlanContext, reserve: GpuReserve): Candidate[] {
   const out: Candidate[] = [];
-  const zone = boundZone(job);
   for (const m of ctx.snapshot.open) {
     let fits = slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory);
     if (fits === 0 || !roomOpenTo(m, job)) continue;
-    if (zone !== null && m.zone !== zone) continue;
-    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (!machineAllowed(job.spec, m) || job.zones.roomIn(m.zone) === 0) continue;
     if (job.avoids(m.name, ctx.now)) continue;
     // A replica stays for long. It takes a GPU away only when there was time to make room elsewhere.
     if (
--- a/src/core/planning/eligibility.ts
+++ b/src/core/planning/eligibility.ts
@@ -1,4 +1,4 @@
-/** Which machines may take a task of a job, and how long its image would take there. */
+/** Which machines take new work now, and how long an image would take there. */
 import type { LiveJob } from "../live-job.js";
 import { type Machine, slots } from "../machine.js";
 import type { ClusterSettings, JobSpec } from "../model.js";
@@ -44,14 +44,6 @@
   );
 }
 
-export function typeAllowed(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
-  return (
-    (spec.types === null || spec.types.includes(type)) &&
-    (spec.zone === null || spec.zone === zone) &&
-    (spec.spot || !spot)
-  );
-}
-
 /** Seconds until the image would be there. */
 export function imageWaitS(m: Machine, spec: JobSpec): number {
   const held = m.images.get(spec.image);
@@ -62,24 +54,6 @@
   return held === undefined ? own + others / m.type.fetchGbPerS : own / 2;
 }
 
-/** Tasks that may still start in each zone when at most half may be in one. */
-export function spreadRoom(job: LiveJob): (zone: string) => number {
-  if (!job.spec.spread) return () => Number.MAX_SAFE_INTEGER;
-  const limit = Math.ceil(job.spec.tasks / 2);
-  const inZone = new Map<string, number>();
-  for (const p of job.everyPlacement()) {
-    inZone.set(p.machine.zone, (inZone.get(p.machine.zone) ?? 0) + 1);
-  }
-  return (zone) => limit - (inZone.get(zone) ?? 0);
-}
-
-/** Zone that a job's tasks must share, if any is on a machine now. */
-export function boundZone(job: LiveJob): string | null {
-  if (!job.spec.oneZone) return null;
-  for (const p of job.everyPlacement()) return p.machine.zone;
-  return null;
-}
-
 /** Usable machines of the types of which a whole machine takes a task. */
 export function* machinesThatFit(spec: JobSpec, ctx: PlanContext): Generator<Machine> {
   for (const machines of ctx.snapshot.usable.values()) {
--- a/src/core/planning/gang-placement.ts
+++ b/src/core/planning/gang-placement.ts
@@ -29,14 +29,11 @@
   for (const group of groups) {
     let left = tasks.length;
     let worst = 0;
-    const perZone = new Map<string, number>();
-    const limit = job.spec.spread ? Math.ceil(job.spec.tasks / 2) : Number.MAX_SAFE_INTEGER;
+    const zones = job.zones.copy();
     for (const c of group) {
       if (left <= 0) break;
-      const used = perZone.get(c.machine.zone) ?? 0;
-      const n = Math.min(left, c.fits, limit - used);
-      if (n <= 0) continue;
-      perZone.set(c.machine.zone, used + n);
+      const n = zones.takeRoom(c.machine.zone, Math.min(left, c.fits));
+      if (n === 0) continue;
       left -= n;
       worst = Math.max(worst, c.score);
     }
--- a/src/core/planning/gang-room.ts
+++ b/src/core/planning/gang-room.ts
@@ -2,8 +2,9 @@
 import type { LiveJob } from "../live-job.js";
 import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
+import { machineAllowed } from "../placement-rules.js";
 import type { PlanContext } from "./context.js";
-import { imageWaitS, machinesThatFit, roomOpenTo, typeAllowed } from "./eligibility.js";
+import { imageWaitS, machinesThatFit, roomOpenTo } from "./eligibility.js";
 
 /** Part of its tasks that the zone a gang gathers in is worth more than another one. */
 const STAY = 1 / 4;
@@ -25,14 +26,18 @@
 function roomByZone(job: LiveJob, ctx: PlanContext, taken: ReadonlySet<string>) {
   const { spec } = job;
   const zones = new Map<string, ZoneRoom>();
+  const spread = job.zones.copy();
   for (const m of machinesThatFit(spec, ctx)) {
     if (!roomOpenTo(m, job)) continue;
-    if (!typeAllowed(spec, m.type.name, m.zone, m.spot) || job.avoids(m.name, ctx.now)) continue;
+    if (!machineAllowed(spec, m) || job.avoids(m.name, ctx.now)) continue;
     const zone = spec.oneZone ? m.zone : "";
     if (taken.has(zone)) continue;
     const room = zones.get(zone) ?? { free: 0, all: 0, made: 0, machines: [] };
     zones.set(zone, room);
-    const whole = wholeMachine(spec, m);
+    const whole = spec.spread
+      ? spread.takeRoom(m.zone, wholeMachine(spec, m))
+      : wholeMachine(spec, m);
+    if (whole === 0) continue;
     const free = slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
     const made = m.reservedFor?.job === job;
     room.all += whole;
@@ -87,9 +92,12 @@
   let need = spec.tasks;
   const { machines } = zones.get(zone)!;
   machines.sort((a, b) => imageWaitS(a, spec) - imageWaitS(b, spec) || (a.name < b.name ? -1 : 1));
+  const occupied = job.zones.copy();
   for (const m of machines) {
     if (need <= 0) break;
-    need -= wholeMachine(spec, m);
+    const tasks = occupied.takeRoom(m.zone, wholeMachine(spec, m));
+    if (tasks === 0) continue;
+    need -= tasks;
     if (m.reservedFor === null || m.reservedFor.job !== job) {
       m.reservedFor = { job, until: ctx.now + ctx.settings.reportS, held: true };
     }
--- a/src/core/planning/gpu-reserve.ts
+++ b/src/core/planning/gpu-reserve.ts
@@ -2,7 +2,7 @@
 import type { Cluster } from "../cluster.js";
 import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
-import { typeAllowed } from "./eligibility.js";
+import { machineAllowed } from "../placement-rules.js";
 
 /** GPU machines that other work must leave usable, and what a GPU job takes of one. */
 export interface GpuReserve {
@@ -18,7 +18,7 @@
   if (reserve.specs.length === 0) return true;
   return reserve.specs.some(
     (g) =>
-      typeAllowed(g, m.type.name, m.zone, m.spot) &&
+      machineAllowed(g, m) &&
       slots(g, m.freeCpus, m.freeGpus, m.freeMemory) >
         slots(g, m.freeCpus - spec.cpus, m.freeGpus, m.freeMemory - spec.memoryGb),
   );
@@ -44,9 +44,7 @@
     if (m.type.gpus <= 0 || m.state !== "up" || m.drain !== null || m.takenAt !== null) continue;
     if (m.gpusUsed > 0) busy++;
     const fits = specs.some(
-      (g) =>
-        typeAllowed(g, m.type.name, m.zone, m.spot) &&
-        slots(g, m.freeCpus, m.freeGpus, m.freeMemory) > 0,
+      (g) => machineAllowed(g, m) && slots(g, m.freeCpus, m.freeGpus, m.freeMemory) > 0,
     );
     if (!fits) continue;
     let held = 0;
--- a/src/core/planning/preemption.ts
+++ b/src/core/planning/preemption.ts
@@ -3,9 +3,10 @@
 import { type Machine, slots } from "../machine.js";
 import type { JobSpec } from "../model.js";
 import type { Placement } from "../placement.js";
+import { machineAllowed, type ZoneOccupancy } from "../placement-rules.js";
 import { takesAnyPlace } from "./candidates.js";
 import type { PlanContext } from "./context.js";
-import { boundZone, imageWaitS, machinesThatFit, spreadRoom, typeAllowed } from "./eligibility.js";
+import { imageWaitS, machinesThatFit } from "./eligibility.js";
 import type { GpuReserve } from "./gpu-reserve.js";
 import { waitedShare } from "./urgency.js";
 
@@ -70,7 +71,7 @@
   const { cpus, gpus, memoryGb } = m.type;
   return reserve.specs.some(
     (g) =>
-      typeAllowed(g, m.type.name, m.zone, m.spot) &&
+      machineAllowed(g, m) &&
       slots(g, cpus - job.spec.cpus, gpus, memoryGb) < slots(g, cpus, gpus, memoryGb),
   );
 }
@@ -108,25 +109,28 @@
   return cost < below ? { machine: m, victims, cost } : null;
 }
 
-/** The cheapest set of tasks whose end lets one task of the job in, and where. */
+/**
+ * The cheapest set of tasks whose end lets one task of the job in, and where. `zones`: where its tasks are, and will
+ * be on machines where room is being made for it.
+ */
 export function makeRoom(
   job: LiveJob,
+  zones: ZoneOccupancy,
   ctx: PlanContext,
   within: ReadonlySet<string>,
   reserve: GpuReserve,
 ): Room | null {
   if (ctx.cluster.quotaSlots(job.spec) <= 0) return null;
-  const room = spreadRoom(job);
-  const zone = boundZone(job) ?? (job.heldZone || null);
+  const zone = job.heldZone || null;
   const sparesGpus = job.spec.kind === "service" && !takesAnyPlace(job, ctx);
   let best: Room | null = null;
   let bestCost = Infinity;
   for (const m of machinesThatFit(job.spec, ctx)) {
     if (m.weakest <= job.precedence) continue;
     // Room is being made or held there already; the caller has counted it.
-    if (m.reservedFor !== null || room(m.zone) <= 0) continue;
+    if (m.reservedFor !== null || zones.roomIn(m.zone) === 0) continue;
     if (zone !== null && m.zone !== zone) continue;
-    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (!machineAllowed(job.spec, m)) continue;
     if (job.avoids(m.name, ctx.now)) continue;
     if (sparesGpus && replicaBlocksGpus(job, m, reserve)) continue;
     const cheaper: Room | null = roomOn(m, job, ctx, within, bestCost);
--- a/src/core/planning/starvation.ts
+++ b/src/core/planning/starvation.ts
@@ -2,8 +2,9 @@
 import type { LiveJob } from "../live-job.js";
 import { slots } from "../machine.js";
 import { BEGIN_S } from "../model.js";
+import { machineAllowed } from "../placement-rules.js";
 import type { PlanContext } from "./context.js";
-import { machinesThatFit, typeAllowed } from "./eligibility.js";
+import { machinesThatFit } from "./eligibility.js";
 import { waitedShare } from "./urgency.js";
 
 /**
@@ -41,7 +42,7 @@
   job.starving = false;
   let room = 0;
   for (const m of machinesThatFit(job.spec, ctx)) {
-    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (!machineAllowed(job.spec, m)) continue;
     room += slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
   }
   const forS = (1.5 * job.spec.tasks * Math.max(1, job.spec.estimateS)) / Math.max(1, room);
--- a/src/core/planning/urgency.ts
+++ b/src/core/planning/urgency.ts
@@ -2,8 +2,8 @@
 import type { LiveJob } from "../live-job.js";
 import { slots } from "../machine.js";
 import { BEGIN_S } from "../model.js";
+import { machineAllowed } from "../placement-rules.js";
 import type { PlanContext } from "./context.js";
-import { typeAllowed } from "./eligibility.js";
 
 /** Part of the users' bound that a job has waited. */
 export const waitedShare = (j: LiveJob, ctx: PlanContext): number =>
@@ -58,12 +58,12 @@
 export function fetchTimeS(job: LiveJob, ctx: PlanContext): number {
   let rate = 0;
   for (const m of ctx.snapshot.kinds) {
-    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (!machineAllowed(job.spec, m)) continue;
     if (slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb) < 1) continue;
     rate = Math.max(rate, m.type.fetchGbPerS);
   }
   for (const m of ctx.snapshot.holding.get(job.spec.image) ?? []) {
-    if (!typeAllowed(job.spec, m.type.name, m.zone, m.spot)) continue;
+    if (!machineAllowed(job.spec, m)) continue;
     if (slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory) > 0) return 0;
   }
   return rate > 0 ? job.spec.imageGb / rate : 0;
--- a/src/core/reconciliation.ts
+++ b/src/core/reconciliation.ts
@@ -30,6 +30,8 @@
     const m = this.context.machine(r.machine, r.type, r.zone, r.spot, now);
     if (m === null) return null;
     if (!isNewer(r, m)) return m;
+    this.context.selfDescribed(m, r);
+    if (m.recordChanged) this.fleet.groups.correct(m);
     if (m.state === "booting") {
       this.fleet.cameUp(m, now);
       m.state = "up";
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -3,7 +3,8 @@
 import type { LiveJob } from "./live-job.js";
 import { type Machine, slots } from "./machine.js";
 import type { ClusterSettings, JobSpec, MachineType } from "./model.js";
-import { typeAllowed } from "./planning/eligibility.js";
+import { machineAllowed, type ZoneOccupancy } from "./placement-rules.js";
+import { mayMove } from "./zone-moves.js";
 
 /** Machines of one request at the most, by the protocol. */
 const MOST = 50;
@@ -80,7 +81,7 @@
 export function freeSlots(cluster: Cluster, spec: JobSpec, now: number): number {
   let n = 0;
   for (const m of cluster.machines.values()) {
-    if (!willTake(m, now) || !typeAllowed(spec, m.type.name, m.zone, m.spot)) continue;
+    if (!willTake(m, now) || !machineAllowed(spec, m)) continue;
     n += slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
   }
   return n;
@@ -89,39 +90,66 @@
 /** Machines of a kind that are late: more of them speak no louder. */
 const DOUBT = 3;
 
-/** The offer that serves the shape at the least price for each task, among those not refused. */
-function offer(
-  spec: JobSpec,
-  want: number,
-  ctx: RentContext,
-): { type: MachineType; zone: string; spot: boolean; perMachine: number } | null {
-  let best: { type: MachineType; zone: string; spot: boolean; perMachine: number } | null = null;
-  let bestCost = Infinity;
+/** Zones in which machines are rented. */
+type ZoneFilter = (zone: string) => boolean;
+const anyZone: ZoneFilter = () => true;
+
+/** A kind of machine that the cloud may have, and the tasks of a shape that one takes. */
+interface Offer {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly perMachine: number;
+}
+
+/** What the shape may run on, less what the cloud refused a moment ago. */
+function* offers(spec: JobSpec, ctx: RentContext, mayRentIn: ZoneFilter): Generator<Offer> {
   for (const type of ctx.types) {
     const perMachine = slots(spec, type.cpus, type.gpus, type.memoryGb);
     if (perMachine < 1) continue;
     for (const zone of type.zones) {
-      for (const spot of spec.spot ? [true, false] : [false]) {
-        if (!typeAllowed(spec, type.name, zone, spot)) continue;
-        const key = offerKey(type.name, zone, spot);
-        const until = ctx.refused.get(key);
-        if (until !== undefined && until > ctx.now) continue;
-        // Work without GPUs takes GPU machines only as a last resort.
-        const gpuWaste = type.gpus > 0 && spec.gpus === 0 ? 100 : 1;
-        const price = spot ? type.spotPrice : type.price;
-        // Another kind for as much again rather than one of which several do not come up.
-        const doubt = 1 + Math.min(DOUBT, ctx.late.get(key) ?? 0);
-        // Zones with fewer machines first, by a little.
-        const cost =
-          (gpuWaste * doubt * price) / Math.min(perMachine, Math.max(want, 1)) +
-          1e-4 * (ctx.inZone.get(zone) ?? 0);
-        if (cost < bestCost) {
-          best = { type, zone, spot, perMachine };
-          bestCost = cost;
-        }
+      if (!mayRentIn(zone)) continue;
+      for (const spot of [true, false]) {
+        if (!machineAllowed(spec, { type, zone, spot })) continue;
+        const until = ctx.refused.get(offerKey(type.name, zone, spot));
+        if (until === undefined || until <= ctx.now) yield { type, zone, spot, perMachine };
       }
     }
   }
+}
+
+/** Price for each task, weighted by what speaks against the kind of machine. */
+function costOf(
+  { type, zone, spot, perMachine }: Offer,
+  spec: JobSpec,
+  want: number,
+  ctx: RentContext,
+) {
+  // Work without GPUs takes GPU machines only as a last resort.
+  const gpuWaste = type.gpus > 0 && spec.gpus === 0 ? 100 : 1;
+  const price = spot ? type.spotPrice : type.price;
+  // Another kind for as much again rather than one of which several do not come up.
+  const doubt = 1 + Math.min(DOUBT, ctx.late.get(offerKey(type.name, zone, spot)) ?? 0);
+  // Zones with fewer machines first, by a little.
+  const crowding = 1e-4 * (ctx.inZone.get(zone) ?? 0);
+  return (gpuWaste * doubt * price) / Math.min(perMachine, Math.max(want, 1)) + crowding;
+}
+
+/** The offer that serves the shape at the least price for each task, among those not refused. */
+function cheapestOffer(
+  spec: JobSpec,
+  want: number,
+  ctx: RentContext,
+  mayRentIn: ZoneFilter,
+): Offer | null {
+  let best: Offer | null = null;
+  let bestCost = Infinity;
+  for (const offer of offers(spec, ctx, mayRentIn)) {
+    const cost = costOf(offer, spec, want, ctx);
+    if (cost >= bestCost) continue;
+    best = offer;
+    bestCost = cost;
+  }
   return best;
 }
 
@@ -142,9 +170,10 @@
       job.spec.kind === "gang" ? job.spec.tasks : ctx.cluster.quotaSlots(job.spec),
     );
     if (need <= 0) continue;
-    const coming = booting(job.spec, need);
+    const zones = job.zones.copy();
+    const coming = booting(job, zones, need);
     if (coming >= need) continue;
-    const r = rental(job.spec, need - coming, `${job.spec.id} waits for room`, ctx);
+    const r = rentalFor(job, need - coming, zones, ctx);
     if (r === null) continue;
     if (first === null) first = r;
     else if (r.type === first.type && r.zone === first.zone && r.spot === first.spot) {
@@ -159,14 +188,36 @@
     const keep = Math.max(1, Math.ceil(ctx.spare * shape.running));
     const free = freeSlots(ctx.cluster, shape.spec, ctx.now);
     if (free >= keep) continue;
-    const r = rental(shape.spec, keep - free, `spare room for ${shape.spec.class}`, ctx);
+    const why = `spare room for ${shape.spec.class}`;
+    const r = rental(shape.spec, keep - free, why, ctx, anyZone);
     if (r !== null) return r;
   }
   return null;
 }
 
-function rental(spec: JobSpec, want: number, why: string, ctx: RentContext): Rental | null {
-  const o = offer(spec, want, ctx);
+/** Room for a waiting job, where its other tasks allow it. */
+function rentalFor(
+  job: LiveJob,
+  want: number,
+  zones: ZoneOccupancy,
+  ctx: RentContext,
+): Rental | null {
+  const why = `${job.spec.id} waits for room`;
+  const r = rental(job.spec, want, why, ctx, (zone) => zones.roomIn(zone) > 0);
+  if (r !== null || !mayMove(job, ctx.now)) return r;
+  // Nothing more is to be had in the zone that it is in: room for all of it in another.
+  const elsewhere = (zone: string): boolean => zone !== job.zones.mainZone;
+  return rental(job.spec, job.spec.tasks, why, ctx, elsewhere);
+}
+
+function rental(
+  spec: JobSpec,
+  want: number,
+  why: string,
+  ctx: RentContext,
+  mayRentIn: ZoneFilter,
+): Rental | null {
+  const o = cheapestOffer(spec, want, ctx, mayRentIn);
   if (o === null) return null;
   const count = Math.min(
     Math.ceil(want / o.perMachine),
@@ -176,20 +227,28 @@
   return count <= 0 ? null : { type: o.type.name, zone: o.zone, spot: o.spot, count, why };
 }
 
-/** Room on machines that are coming up, handed out once to each asker in turn. */
-function bootingRoom(cluster: Cluster, now: number): (spec: JobSpec, need: number) => number {
+/**
+ * Room on machines that are coming up, handed out once to each asker in turn, and taken in `zones`. (A gang is placed
+ * as a whole once all of it fits somewhere, so what comes up for it counts in any zone.)
+ */
+function bootingRoom(
+  cluster: Cluster,
+  now: number,
+): (job: LiveJob, zones: ZoneOccupancy, need: number) => number {
   const left = new Map<Machine, { cpus: number; gpus: number; memory: number }>();
   for (const m of cluster.machines.values()) {
     if (m.state === "booting" && !isLate(m, now)) {
       left.set(m, { cpus: m.type.cpus, gpus: m.type.gpus, memory: m.type.memoryGb });
     }
   }
-  return (spec, need) => {
+  return ({ spec }, zones, need) => {
+    const inAnyZone = spec.kind === "gang" && !spec.spread;
     let got = 0;
     for (const [m, room] of left) {
       if (got >= need) break;
-      if (!typeAllowed(spec, m.type.name, m.zone, m.spot)) continue;
-      const n = Math.min(need - got, slots(spec, room.cpus, room.gpus, room.memory));
+      if (!machineAllowed(spec, m)) continue;
+      const fits = Math.min(need - got, slots(spec, room.cpus, room.gpus, room.memory));
+      const n = inAnyZone ? fits : zones.takeRoom(m.zone, fits);
       if (n <= 0) continue;
       got += n;
       room.cpus -= n * spec.cpus;
@@ -209,7 +268,7 @@
   const free = new Map(shapes.map((s) => [s, freeSlots(ctx.cluster, s.spec, ctx.now)]));
   for (const m of idle) {
     const needed = shapes.some((s) => {
-      if (!typeAllowed(s.spec, m.type.name, m.zone, m.spot)) return false;
+      if (!machineAllowed(s.spec, m)) return false;
       const here = slots(s.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
       const keep = Math.max(1, Math.ceil(ctx.spare * s.running));
       return here > 0 && free.get(s)! - here < keep;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -25,7 +25,7 @@
 import type { Output, SchedulerOptions, SendOutcome, WriteOutcome } from "./outputs.js";
 import { OversizedValues } from "./oversized-values.js";
 import { taskKey } from "./placement.js";
-import { typeAllowed } from "./planning/eligibility.js";
+import { machineAllowed, zonesSuffice } from "./placement-rules.js";
 import { PlanningPass } from "./planning-pass.js";
 import { isNewer, Reconciliation } from "./reconciliation.js";
 import type { Records } from "./records.js";
@@ -96,6 +96,7 @@
       if (job.present > 0) this.context.cluster.gangStarts.began(job, now);
     }
     this.loseEarlierSessions(now);
+    this.regroupIncompleteGangs();
     // They mostly come by themselves within a report interval, and a direct request costs more than
     // a report: those that run replicas are fenced soon, the others when they are overdue.
     const up = [...this.context.cluster.machines.values()];
@@ -120,6 +121,17 @@
     }
   }
 
+  /**
+   * A former leader had stored that a gang lost tasks, and ended before it had stopped the others, which is not
+   * stored. Those cannot complete, and nothing is placed for the gang while they are there.
+   */
+  private regroupIncompleteGangs(): void {
+    for (const job of this.context.cluster.jobs.values()) {
+      if (job.spec.kind !== "gang" || job.placements.size === 0 || job.pendingCount === 0) continue;
+      this.dispatch.regroup(job, "a gang task was lost before this term");
+    }
+  }
+
   setTypes(types: readonly MachineType[]): void {
     this.context.types = new Map(types.map((t) => [t.name, t]));
     this.context.needPlan = true;
@@ -375,9 +387,13 @@
   const tasks = spec.kind === "array" ? 1 : spec.tasks;
   if (team.cpusMax > 0 && spec.cpus * tasks > team.cpusMax + 1e-6) return false;
   if (team.gpusMax > 0 && spec.gpus * tasks > team.gpusMax + 1e-6) return false;
-  return types.some(
-    (t) =>
-      slots(spec, t.cpus, t.gpus, t.memoryGb) >= 1 &&
-      t.zones.some((zone) => typeAllowed(spec, t.name, zone, false)),
-  );
+  const zones = new Set<string>();
+  for (const type of types) {
+    if (slots(spec, type.cpus, type.gpus, type.memoryGb) < 1) continue;
+    for (const zone of type.zones) {
+      if (machineAllowed(spec, { type, zone, spot: false })) zones.add(zone);
+    }
+  }
+  // Of a gang all tasks run at one time, or none does.
+  return zones.size > 0 && (spec.kind !== "gang" || zonesSuffice(spec, zones.size));
 }
--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -143,6 +143,8 @@
   /** Machines that answer nothing any more. */
   readonly dead = new Set<string>();
   private seq = 100;
+  /** What kind of machine each worker said it is on: it goes on saying so. */
+  private readonly kinds = new Map<string, Pick<Report, "type" | "zone" | "spot">>();
 
   constructor(
     options: {
@@ -302,12 +304,12 @@
   }
 
   makeReport(machine: string, tasks: TaskReport[], change: Partial<Report> = {}): Report {
-    return {
+    const zone = machine.endsWith("b") ? "b" : "a";
+    const kind = this.kinds.get(machine) ?? { type: "small", zone, spot: false };
+    const report = {
       machine,
       address: `${machine}:9000`,
-      type: "small",
-      zone: machine.endsWith("b") ? "b" : "a",
-      spot: false,
+      ...kind,
       session: 1,
       seq: this.seq++,
       token: this.epoch,
@@ -315,6 +317,8 @@
       tasks,
       ...change,
     };
+    this.kinds.set(machine, { type: report.type, zone: report.zone, spot: report.spot });
+    return report;
   }
 
   epoch = 1;
@@ -398,14 +402,23 @@
   private readonly on = new Map<string, Map<string, { task: TaskReport; endsAt: number }>>();
   private readonly reportedAt = new Map<string, number>();
 
+  private readonly types: Map<string, string>;
+
   constructor(
     public leader: TestLeader,
-    private readonly types: ReadonlyMap<string, string>,
+    types: ReadonlyMap<string, string>,
     private readonly fate: Fate,
   ) {
+    this.types = new Map(types);
     for (const name of types.keys()) this.on.set(name, new Map());
   }
 
+  /** A machine comes up. */
+  add(name: string, type: string): void {
+    this.types.set(name, type);
+    this.on.set(name, new Map());
+  }
+
   /** Time passes in steps of a quarter of a second. */
   run(seconds: number, each: () => void = () => {}): void {
     for (let t = 0; t < seconds; t += 0.25) {
--- /dev/null
+++ b/tests/placement-checker.ts
@@ -0,0 +1,54 @@
+/**
+ * The rule on places (`wrong_place`), held against what simulated workers do. It counts by itself and never
+ * reads the scheduler's records.
+ */
+import type { JobSpec } from "../src/core/model.js";
+
+/** Where a task is, as its worker knows it. */
+export interface Place {
+  readonly machine: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+/** The constraints of a job on the places of its tasks. */
+export const CONSTRAINTS = ["types", "zone", "spot", "oneZone", "spread"] as const;
+export type Constraint = (typeof CONSTRAINTS)[number];
+
+export interface PlaceFault {
+  readonly constraint: Constraint;
+  readonly what: string;
+}
+
+/** What is wrong with a task of the job at a place, given the places of the job's other tasks at that moment. */
+export function placeFaults(spec: JobSpec, at: Place, others: readonly Place[]): PlaceFault[] {
+  const faults: PlaceFault[] = [];
+  const add = (constraint: Constraint, what: string): void => {
+    faults.push({ constraint, what: `on ${at.machine} (${at.type}, ${at.zone}): ${what}` });
+  };
+  if (spec.types !== null && !spec.types.includes(at.type)) add("types", `not of ${spec.types}`);
+  if (spec.zone !== null && spec.zone !== at.zone) add("zone", `zone is not ${spec.zone}`);
+  if (!spec.spot && at.spot) add("spot", "a spot machine");
+  if (spec.oneZone) {
+    const elsewhere = others.find((other) => other.zone !== at.zone);
+    if (elsewhere !== undefined) add("oneZone", `another task is in ${elsewhere.zone}`);
+  }
+  if (spec.spread) {
+    const here = 1 + others.filter((other) => other.zone === at.zone).length;
+    if (here > Math.ceil(spec.tasks / 2)) add("spread", `${here} of ${spec.tasks} in one zone`);
+  }
+  return faults;
+}
+
+/** The job as a planner would see it that knows nothing of one constraint. */
+export function without(spec: JobSpec, constraint: Constraint): JobSpec {
+  const ignored: Record<Constraint, Partial<JobSpec>> = {
+    types: { types: null },
+    zone: { zone: null },
+    spot: { spot: true },
+    oneZone: { oneZone: false },
+    spread: { spread: false },
+  };
+  return { ...spec, ...ignored[constraint] };
+}
--- /dev/null
+++ b/tests/simulated-sites.ts
@@ -0,0 +1,106 @@
+/** The sites that the simulation plays: zones, machine types, machines and the kinds of jobs that users submit. */
+import type { ClusterSettings, JobSpec, MachineType } from "../src/core/model.js";
+import { decodeSettings } from "../src/wire/settings.js";
+import { settingsText, TYPES } from "./helpers.js";
+
+export interface MachineKind {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+export interface Site {
+  readonly settings: ClusterSettings;
+  readonly types: readonly MachineType[];
+  readonly machines: readonly MachineKind[];
+  /** No more than these are rented; 0: none. */
+  readonly maxMachines: number;
+  readonly jobs: readonly Partial<JobSpec>[];
+}
+
+/** Jobs of every kind without a constraint, and those that the first searches had. */
+const PLAIN: readonly Partial<JobSpec>[] = [
+  { tasks: 1 },
+  { tasks: 3 },
+  { tasks: 2, cpus: 2, zone: "b" },
+  { tasks: 2, cpus: 2, kind: "gang", oneZone: true },
+  { tasks: 2, kind: "service", spread: true, priority: "production" },
+  { tasks: 4, priority: "low" },
+];
+
+/** Each constraint on jobs of each kind. */
+const CONSTRAINED: readonly Partial<JobSpec>[] = [
+  { kind: "array", tasks: 5, oneZone: true },
+  { kind: "array", tasks: 5, spread: true },
+  { kind: "array", tasks: 2, types: ["big"] },
+  { kind: "array", tasks: 4, zone: "a" },
+  { kind: "array", tasks: 3, spot: false },
+  { kind: "gang", tasks: 3, oneZone: true },
+  { kind: "gang", tasks: 3, spread: true },
+  { kind: "gang", tasks: 2, types: ["small"] },
+  { kind: "gang", tasks: 2, zone: "b" },
+  { kind: "gang", tasks: 2, spot: false },
+  { kind: "service", tasks: 3, oneZone: true, priority: "production" },
+  { kind: "service", tasks: 3, spread: true, priority: "production" },
+  { kind: "service", tasks: 2, types: ["small", "big"] },
+  { kind: "service", tasks: 2, zone: "a" },
+  { kind: "service", tasks: 2, spot: false },
+];
+
+/** Larger ones for sites of tens of machines: some stand in parts. */
+const LARGE: readonly Partial<JobSpec>[] = [
+  { kind: "array", tasks: 16, oneZone: true },
+  { kind: "array", tasks: 70, oneZone: true, team: "maps" },
+  { kind: "array", tasks: 16, spread: true, types: ["small"] },
+  { kind: "gang", tasks: 8, oneZone: true, spot: false },
+  { kind: "gang", tasks: 7, spread: true },
+  { kind: "service", tasks: 9, spread: true, spot: false },
+  { kind: "service", tasks: 6, oneZone: true, spot: false },
+];
+
+/** Values of this size put jobs of some tens of tasks into parts. */
+const SMALL_VALUE_KB = 2;
+
+function settingsOf(zones: readonly string[], valueKb: number): ClusterSettings {
+  const base = JSON.parse(settingsText()) as { settings: { state: object } };
+  const state = { ...base.settings.state, value_kb: valueKb };
+  const s = decodeSettings(settingsText({ settings: { ...base.settings, zones, state } }));
+  if (!("settings" in s)) throw new Error("test settings");
+  return s.settings.cluster;
+}
+
+const typesIn = (zones: readonly string[]): MachineType[] =>
+  TYPES.map((t) => ({ ...t, zones: [...zones] }));
+
+/** Five ordinary machines of one type in two zones. */
+function smallest(jobs: readonly Partial<JobSpec>[]): Site {
+  const zones = ["a", "b"];
+  const machines = ["a", "a", "a", "b", "b"].map((zone) => ({ type: "small", zone, spot: false }));
+  return { settings: settingsOf(zones, 8), types: typesIn(zones), machines, maxMachines: 0, jobs };
+}
+
+/** Machines of two types in three zones, a third of them spot machines. */
+function mixed(count: number, maxMachines: number, jobs: readonly Partial<JobSpec>[]): Site {
+  const zones = ["a", "b", "c"];
+  const machines = Array.from({ length: count }, (_, i) => ({
+    type: i % 4 === 3 ? "big" : "small",
+    zone: zones[i % 3]!,
+    spot: Math.floor(i / 3) % 3 === 1,
+  }));
+  const settings = settingsOf(zones, SMALL_VALUE_KB);
+  return { settings, types: typesIn(zones), machines, maxMachines, jobs };
+}
+
+/** Sites of several sizes in turn; `pick` chooses one of so many. */
+export function siteOf(seed: number, pick: (n: number) => number): Site {
+  if (seed % 4 === 0) return smallest(PLAIN);
+  if (seed % 4 === 1) return smallest([...PLAIN, ...CONSTRAINED.filter((j) => !needsBig(j))]);
+  if (seed % 4 === 2) return mixed(10 + pick(8), 0, [...PLAIN, ...CONSTRAINED]);
+  const count = 12 + pick(40);
+  return mixed(count, count + 10, [...PLAIN, ...CONSTRAINED, ...LARGE]);
+}
+
+const needsBig = (job: Partial<JobSpec>): boolean => job.types?.includes("small") === false;
+
+/** A site for one sort of job, with little else in its way. */
+export const siteFor = (job: Partial<JobSpec>): Site => mixed(18, 0, [job, { tasks: 2 }]);
--- a/tests/simulation.ts
+++ b/tests/simulation.ts
@@ -6,15 +6,16 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { isKept } from "../src/core/leader-context.js";
-import type { ClusterSettings, Command, JobSpec, Report, TaskReport } from "../src/core/model.js";
+import type { Command, JobSpec, Report, TaskReport } from "../src/core/model.js";
 import type { Output } from "../src/core/outputs.js";
 import { dependenciesOf, written } from "../src/core/pipeline.js";
 import { KEY, Records, type StoredJob } from "../src/core/records.js";
 import { Scheduler } from "../src/core/scheduler.js";
 import type { Write } from "../src/core/writer.js";
-import { decodeSettings } from "../src/wire/settings.js";
 import type { Change, Condition, Event } from "../src/wire/state.js";
-import { settingsText, spec, TYPES, task } from "./helpers.js";
+import { spec, task } from "./helpers.js";
+import { type Place, placeFaults } from "./placement-checker.js";
+import { type Site, siteOf } from "./simulated-sites.js";
 
 const LEASE = 21;
 const GRACE = 21;
@@ -28,6 +29,13 @@
   readonly what: string;
 }
 
+/** A task on a machine: it fetches its image until `imageAt`. */
+interface SimulatedTask {
+  report: TaskReport;
+  endsAt: number;
+  readonly imageAt: number;
+}
+
 class Machine {
   session = 1;
   seq = 0;
@@ -39,10 +47,12 @@
   hung = 0;
   /** It is cut off with former leaders until then: the present one neither hears nor reaches it. */
   apart = 0;
-  readonly tasks = new Map<string, { report: TaskReport; endsAt: number }>();
+  readonly tasks = new Map<string, SimulatedTask>();
   constructor(
     readonly name: string,
+    readonly type: string,
     readonly zone: string,
+    readonly spot: boolean,
     now: number,
   ) {
     this.leaseUntil = now + LEASE;
@@ -50,6 +60,13 @@
   }
 }
 
+const placeOf = ({ name, type, zone, spot }: Machine): Place => ({
+  machine: name,
+  type,
+  zone,
+  spot,
+});
+
 interface Leader {
   readonly scheduler: Scheduler;
   readonly records: Records;
@@ -81,7 +98,7 @@
   /** Troubles come while this is set. */
   troubled = true;
   private readonly random;
-  private readonly settings: ClusterSettings;
+  readonly site: Site;
   private readonly keys = new Map<string, { value: unknown; mark: number }>();
   private readonly log: Event[] = [];
   private revision = 1;
@@ -99,8 +116,14 @@
   /** One in so many goes wrong, of what a leader, a machine, a message and a write do. */
   private readonly odds: { leader: number; machine: number; message: number; write: number };
 
-  constructor(seed: number) {
+  /** `seenByLeader`: what the leader is told of a job, to show that the checks can fail. */
+  constructor(
+    seed: number,
+    private readonly seenByLeader: (s: JobSpec) => JobSpec = (s) => s,
+    site: Site | null = null,
+  ) {
     this.random = xoroshiro128plus(seed);
+    this.site = site ?? siteOf(seed, (n) => this.pick(n));
     // Days differ in what goes wrong often: everything at once hides what needs a quiet moment.
     this.odds = {
       leader: [80, 250, 1500][this.pick(3)]!,
@@ -108,12 +131,9 @@
       message: [5, 15, 80][this.pick(3)]!,
       write: [5, 20, 100][this.pick(3)]!,
     };
-    const s = decodeSettings(settingsText());
-    if (!("settings" in s)) throw new Error("test settings");
-    this.settings = s.settings.cluster;
     this.truth.reset([], 0);
     this.vacantSince = this.now;
-    for (const zone of ["a", "a", "a", "b", "b"]) this.birth(zone);
+    for (const { type, zone, spot } of this.site.machines) this.birth(type, zone, spot);
     this.commit([], [{ op: "put", key: KEY.epoch, value: { n: 0 } }]);
   }
 
@@ -133,10 +153,13 @@
     this.note(`BROKEN ${rule}: ${what}`);
     this.broken.push({ rule, what });
   }
-  private birth(zone: string): void {
-    const m = new Machine(`m${this.born++}${zone}`, zone, this.now);
+  private birth(type: string, zone: string, spot: boolean, name = this.newName(zone)): void {
+    const m = new Machine(name, type, zone, spot, this.now);
     this.machines.set(m.name, m);
-    this.note(`${m.name} is up`);
+    this.note(`${m.name} is up: ${type}, ${zone}${spot ? ", spot" : ""}`);
+  }
+  private newName(zone: string): string {
+    return `m${this.born++}${zone}`;
   }
 
   // ------------------------------------------------------------ state service
@@ -176,15 +199,8 @@
 
   submit(): void {
     const id = `j${this.jobs++}`;
-    const kinds: Partial<JobSpec>[] = [
-      { tasks: 1 },
-      { tasks: 3 },
-      { tasks: 2, cpus: 2, zone: "b" },
-      { tasks: 2, cpus: 2, kind: "gang", oneZone: true },
-      { tasks: 2, kind: "service", spread: true, priority: "production" },
-      { tasks: 4, priority: "low" },
-    ];
     const team = this.pick(3) === 0 ? "maps" : "vision";
+    const kinds = this.site.jobs;
     const kind = kinds[this.pick(kinds.length)]!;
     // Some need others that were accepted, in whatever state these are.
     const after = kind.kind === "service" || this.pick(3) > 0 ? [] : this.others();
@@ -195,7 +211,7 @@
       ...(after.length > 0 ? { after } : {}),
     });
     const value: StoredJob = {
-      j: s,
+      j: this.seenByLeader(s),
       at: this.now * 1000,
       r: written(dependenciesOf(id, after)),
       v: 1,
@@ -306,9 +322,9 @@
     return {
       machine: m.name,
       address: `${m.name}:9000`,
-      type: "small",
+      type: m.type,
       zone: m.zone,
-      spot: false,
+      spot: m.spot,
       session: m.session,
       seq: ++m.seq,
       token: m.token,
@@ -329,14 +345,16 @@
     }
   }
 
-  private exit(t: { report: TaskReport }, cause: TaskReport["cause"]): void {
+  private exit(t: SimulatedTask, cause: TaskReport["cause"]): void {
     t.report = { ...t.report, state: "exited", cause };
   }
 
   private begin(m: Machine, c: Command, key: string): void {
     const job = this.submitted.get(c.job);
     if (job === undefined) return;
-    const t = { report: task(c.job, c.task, c.attempt), endsAt: Number.POSITIVE_INFINITY };
+    const imageAt = this.now + [0, 0, 2, 9][this.pick(4)]!;
+    const fetching = task(c.job, c.task, c.attempt, "fetching");
+    const t: SimulatedTask = { report: fetching, endsAt: Number.POSITIVE_INFINITY, imageAt };
     m.tasks.set(key, t);
     let cpus = job.cpus;
     for (const x of m.tasks.values()) {
@@ -344,7 +362,7 @@
       if (x.report.job === c.job && x.report.task === c.task) this.exit(t, "busy");
       cpus += this.submitted.get(x.report.job)!.cpus;
     }
-    if (cpus > 4) this.exit(t, "no_room");
+    if (cpus > this.site.types.find((type) => type.name === m.type)!.cpus) this.exit(t, "no_room");
     if (t.report.state === "exited") return;
     const name = `${c.job}/${c.task}`;
     this.starts++;
@@ -356,27 +374,46 @@
       this.breaks("ran_cancelled", `${key} starts: ${this.told.get(c.job)}`);
     for (const [on, other] of this.present(c.job)) {
       if (on === m.name) continue;
-      const at = this.machines.get(on)!.zone;
       if (other.task === c.task) this.breaks("ran_twice", `${key} on ${m.name} and ${on}`);
-      if (job.oneZone && at !== m.zone) this.breaks("wrong_place", `${key} in ${m.zone} and ${at}`);
-    }
-    if (job.zone !== null && job.zone !== m.zone) this.breaks("wrong_place", `${key} in ${m.zone}`);
-    if (job.spread) {
-      const here = [...this.present(c.job)].filter(
-        ([on]) => this.machines.get(on)!.zone === m.zone,
-      );
-      if (here.length > Math.ceil(job.tasks / 2)) this.breaks("wrong_place", `${key}: not spread`);
     }
+    this.checkPlace(t, m, "is started", () => true);
     let used = 0;
     for (const [id, s] of this.submitted) {
       if (s.team === "vision") for (const _ of this.present(id)) used += s.cpus;
     }
     if (job.team === "vision" && used > 16 + 1e-6) this.breaks("quota", `${used} CPUs`);
     if (job.kind === "service") return;
-    t.endsAt = this.now + (this.done.has(name) ? 0 : [2, 8, 40][this.pick(3)]!);
+    t.endsAt = imageAt + (this.done.has(name) ? 0 : [2, 8, 40][this.pick(3)]!);
+  }
+
+  /** A task comes to a machine, given the job's other tasks of these at this moment. */
+  private checkPlace(
+    t: SimulatedTask,
+    m: Machine,
+    event: string,
+    counts: (other: TaskReport) => boolean,
+  ): void {
+    const { job, task: number, attempt } = t.report;
+    const others: Place[] = [];
+    for (const [on, other] of this.present(job)) {
+      if (other !== t.report && counts(other)) others.push(placeOf(this.machines.get(on)!));
+    }
+    for (const { what } of placeFaults(this.submitted.get(job)!, placeOf(m), others)) {
+      this.breaks("wrong_place", `${job}/${number}#${attempt} ${event} ${what}`);
+    }
+  }
+
+  /** The image is there: from now on the task counts as being on its machine. */
+  private imagesArrive(m: Machine): void {
+    for (const t of m.tasks.values()) {
+      if (t.report.state !== "fetching" || this.now < t.imageAt) continue;
+      t.report = { ...t.report, state: "running" };
+      this.checkPlace(t, m, "has its image", (other) => other.state !== "fetching");
+    }
   }
 
   private runTasks(m: Machine): void {
+    this.imagesArrive(m);
     for (const t of m.tasks.values()) {
       const { report } = t;
       if (report.state === "exited" || this.now < t.endsAt) continue;
@@ -456,15 +493,15 @@
     records.reset(items, this.revision);
     const options = {
       spare: 0,
-      maxMachines: 0,
+      maxMachines: this.site.maxMachines,
       idleReturnS: 1e9,
       graceS: GRACE,
       keepS: KEEP,
       othersIn: new Map<string, number>(),
     };
     const epochMark = records.epoch.mark;
-    const scheduler = new Scheduler(this.settings, options, epoch, epochMark, this.now);
-    scheduler.setTypes(TYPES);
+    const scheduler = new Scheduler(this.site.settings, options, epoch, epochMark, this.now);
+    scheduler.setTypes(this.site.types);
     const until = Number.POSITIVE_INFINITY;
     const l = { scheduler, records, epoch, epochMark, until, writing: false, raising: false };
     this.leader = l;
@@ -503,14 +540,16 @@
         const ok = this.now >= this.cloudDown && !this.chance(4);
         this.later(0.3, () => {
           for (const name of ok ? o.machines : []) {
-            if (!this.machines.delete(name)) continue;
+            const m = this.machines.get(name);
+            if (m === undefined) continue;
+            this.machines.delete(name);
             this.note(`${name} is returned`);
-            this.later(1, () => this.birth(name.at(-1)!));
+            this.later(1, () => this.birth(m.type, m.zone, m.spot));
           }
           back(() => l.scheduler.returned(o.machines, ok, this.now));
         });
       } else if (o.kind === "rent") {
-        this.later(0.2, () => back(() => l.scheduler.rented(o, "no capacity", this.now)));
+        this.rent(l, o, back);
       } else if (o.kind === "list") {
         this.later(0.2, () => back(() => l.scheduler.list(this.list(), this.now)));
       } else if (o.kind === "raise token") this.raise(l, back);
@@ -525,14 +564,32 @@
     return [...this.machines.values()].map((m) => ({
       name: m.name,
       address: `${m.name}:9000`,
-      type: "small",
+      type: m.type,
       zone: m.zone,
-      spot: false,
+      spot: m.spot,
       state: "running" as const,
       ageS: this.now - 900,
     }));
   }
 
+  /** Machines come up at once or later; the request may be carried out late, its answer lost. */
+  private rent(l: Leader, o: Extract<Output, { kind: "rent" }>, back: (f: () => Output[]) => void) {
+    if (this.machines.size >= this.site.maxMachines || this.pick(4) === 0) {
+      this.later(0.2, () => back(() => l.scheduler.rented(o, "no capacity", this.now)));
+      return;
+    }
+    const answerLost = this.chance(this.odds.message);
+    this.later(answerLost ? this.pick(40) : 0.2, () => {
+      const count = Math.min(o.count, this.site.maxMachines - this.machines.size);
+      const names = Array.from({ length: Math.max(0, count) }, () => this.newName(o.zone));
+      for (const name of names) {
+        this.later([1, 2, 15][this.pick(3)]!, () => this.birth(o.type, o.zone, o.spot, name));
+      }
+      if (!answerLost) back(() => l.scheduler.rented(o, { machines: names }, this.now));
+    });
+    if (answerLost) this.later(1, () => back(() => l.scheduler.rented(o, "trouble", this.now)));
+  }
+
   private send(l: Leader, o: Extract<Output, { kind: "send" }>, back: (f: () => Output[]) => void) {
     const token = l.epoch;
     const deliver = (): Report | null => {
@@ -665,10 +722,11 @@
     if (this.pick(this.odds.machine) === 0) m.mute = this.now + forS;
     if (this.pick(this.odds.machine) === 0) m.deaf = this.now + forS;
     if (this.pick(this.odds.machine) === 0) m.hung = this.now + forS;
-    if (this.pick(400) === 0) {
+    // As many in a minute for each machine, however many there are.
+    if (this.pick(Math.ceil(2000 / this.machines.size)) === 0) {
       this.note(`${m.name} dies`);
       this.machines.delete(m.name);
-      this.later(5 + this.pick(30), () => this.birth(m.zone));
+      this.later(5 + this.pick(30), () => this.birth(m.type, m.zone, m.spot));
     }
   }
 
--- /dev/null
+++ b/tests/wrong-place.test.ts
@@ -0,0 +1,357 @@
+/** The rule `wrong_place`: a task is where its job allows it, given the job's other tasks at that moment. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { JobSpec, Kind } from "../src/core/model.js";
+import type { Records } from "../src/core/records.js";
+import { wanted } from "../src/core/renting.js";
+import { canEverRun } from "../src/core/scheduler.js";
+import { decodeJob } from "../src/wire/schema.js";
+import { jobBody, ready, spec, TestLeader, TYPES, task, Workers } from "./helpers.js";
+import { CONSTRAINTS, type Constraint, placeFaults, without } from "./placement-checker.js";
+import { siteFor } from "./simulated-sites.js";
+import { World } from "./simulation.js";
+
+const BINDING: Record<Constraint, Partial<JobSpec>> = {
+  types: { types: ["big"], tasks: 3 },
+  zone: { zone: "c", tasks: 3 },
+  spot: { spot: false, tasks: 3 },
+  oneZone: { oneZone: true, tasks: 5 },
+  spread: { spread: true, tasks: 5 },
+};
+const KINDS: readonly Kind[] = ["array", "gang", "service"];
+
+/** Plays one sort of job on a site of 18 machines; the leader may be told of it without a constraint. */
+function play(seed: number, job: Partial<JobSpec>, ignored: Constraint | null): World {
+  const seen = (s: JobSpec): JobSpec => (ignored === null ? s : without(s, ignored));
+  const w = new World(seed, seen, siteFor(job));
+  for (let i = 0; i < 300 && w.broken.length === 0; i++) w.step();
+  return w;
+}
+
+for (const kind of KINDS) {
+  for (const constraint of CONSTRAINTS) {
+    test(`the checks find a planner that knows nothing of ${constraint}: ${kind}`, () => {
+      const job = { ...BINDING[constraint], kind };
+      const found = new Set<string>();
+      for (let seed = 1; seed <= 8 && found.size === 0; seed++) {
+        for (const b of play(seed, job, constraint).broken) found.add(b.rule);
+      }
+      assert.deepEqual([...found], ["wrong_place"]);
+    });
+    test(`wrong_place: ${constraint} holds for a ${kind}`, () => {
+      for (let seed = 1; seed <= 8; seed++) {
+        const w = play(seed, { ...BINDING[constraint], kind }, null);
+        assert.deepEqual(w.broken, [], w.trace.slice(-30).join("\n"));
+        assert.ok(w.starts > 0);
+      }
+    });
+  }
+}
+
+test("the checker of places counts by itself", () => {
+  const at = (zone: string, type = "small", spot = false) => ({ machine: "m", type, zone, spot });
+  const names = (s: Partial<JobSpec>, here: ReturnType<typeof at>, others = [at("a")]): string[] =>
+    placeFaults(spec("j", { tasks: 5, ...s }), here, others).map((f) => f.constraint);
+  assert.deepEqual(names({}, at("b")), []);
+  assert.deepEqual(names({ types: ["big"] }, at("a")), ["types"]);
+  assert.deepEqual(names({ zone: "b" }, at("a")), ["zone"]);
+  assert.deepEqual(names({ spot: false }, at("a", "small", true)), ["spot"]);
+  assert.deepEqual(names({ oneZone: true }, at("b")), ["oneZone"]);
+  assert.deepEqual(names({ oneZone: true }, at("a")), []);
+  assert.deepEqual(names({ spread: true }, at("a"), [at("a"), at("a")]), []);
+  assert.deepEqual(names({ spread: true }, at("a"), [at("a"), at("a"), at("a")]), ["spread"]);
+});
+
+/** The state service holds another value, as some other version wrote it. */
+function store(records: Records, key: string, value: unknown): void {
+  const mark = records.ledger + 1;
+  records.apply([{ key, value, removed: false, mark }], mark);
+}
+
+const zoneOf = (machine: string): string => machine.at(-1)!;
+
+/** Zones to which starts of a job were sent, in order. */
+const startedIn = (h: TestLeader, job: string): string[] =>
+  h.pending.flatMap((o) =>
+    o.commands.filter((c) => c.op === "start" && c.job === job).map(() => zoneOf(o.machine)),
+  );
+
+test("wrong_place: an array that must be in one zone is placed in one zone by one pass", () => {
+  const h = ready();
+  h.submit(spec("j", { tasks: 6, oneZone: true }));
+  // Four fit each machine. Two waited in the same pass for the machine in the other zone.
+  const zones = startedIn(h, "j");
+  assert.equal(zones.length, 4);
+  assert.equal(new Set(zones).size, 1);
+});
+
+test("wrong_place: a service that must be in one zone goes where all of it fits", () => {
+  const h = ready();
+  h.report("m3b", []);
+  h.submit(spec("j", { tasks: 6, kind: "service", oneZone: true, spot: false }));
+  assert.deepEqual(startedIn(h, "j"), ["b", "b", "b", "b", "b", "b"]);
+});
+
+test("wrong_place: what an older leader placed in two zones is not started by a newer one", () => {
+  const old = ready();
+  old.submit(spec("j", { tasks: 6, cpus: 1 }));
+  assert.equal(new Set(startedIn(old, "j")).size, 2);
+  // As the version before stored a job that must be in one zone.
+  const stored = old.records.live.get("j")!;
+  const job = { ...stored.value.j, oneZone: true };
+  const value = { ...stored.value, j: job };
+  store(old.records, "p/j", value);
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  // What stands in one zone runs; of what stands in the other no start has arrived.
+  const placed = [...h.scheduler.cluster.jobs.get("j")!.placements.values()];
+  const running = placed.filter((p) => zoneOf(p.machine.name) === "a");
+  const tasks = running.map((p) => task("j", p.task, p.attempt));
+  assert.ok(running.length > 0 && running.length < placed.length);
+  // A successor sends nothing by itself for a while.
+  for (let i = 0; i < 6; i++) {
+    h.report("m1a", tasks);
+    h.report("m2b", []);
+    h.tick(2);
+  }
+  assert.deepEqual(startedIn(h, "j"), [], h.trace());
+});
+
+test("wrong_place: tasks that run in two zones are brought back to one, and the rest follows", () => {
+  const old = ready();
+  old.submit(spec("j", { tasks: 7, cpus: 1, kind: "service" }));
+  const stored = old.records.live.get("j")!;
+  const value = { ...stored.value, j: { ...stored.value.j, oneZone: true, tasks: 8 } };
+  store(old.records, "p/j", value);
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  const on = [...h.scheduler.cluster.jobs.get("j")!.placements.values()];
+  for (const m of ["m1a", "m2b"]) {
+    const here = on.filter((p) => p.machine.name === m);
+    h.report(
+      m,
+      here.map((p) => task("j", p.task, p.attempt)),
+    );
+  }
+  for (let i = 0; i < 4; i++) h.tick();
+  const stopped = h.pending.flatMap((o) =>
+    o.commands.filter((c) => c.op === "stop").map(() => o.machine),
+  );
+  assert.equal(new Set(stopped).size, 1, h.trace());
+  assert.deepEqual(startedIn(h, "j"), []);
+});
+
+test("wrong_place: a task that turns up between placement and start keeps the start back", () => {
+  const h = ready();
+  h.storing = false;
+  h.submit(spec("j", { tasks: 1, oneZone: true }));
+  const [p] = h.scheduler.cluster.jobs.get("j")!.placements.values();
+  const here = p!.machine.name;
+  const other = here === "m1a" ? "m2b" : "m1a";
+  h.report(other, [task("j", 0, 7)]);
+  h.storing = true;
+  h.tick();
+  assert.deepEqual(startedIn(h, "j"), []);
+  assert.equal(h.scheduler.cluster.jobs.get("j")!.placements.size, 0);
+});
+
+test("ran_twice: a task of which an unrecorded attempt runs is not placed elsewhere", () => {
+  const h = ready();
+  h.storing = false;
+  h.submit(spec("j", { tasks: 1, cpus: 4 }));
+  h.report("m2b", [task("k", 0, 1)]);
+  const [p] = h.scheduler.cluster.jobs.get("j")!.placements.values();
+  const other = p!.machine.name === "m1a" ? "m2b" : "m1a";
+  h.report(other, [task("j", 0, 7)]);
+  h.storing = true;
+  const job = h.scheduler.cluster.jobs.get("j")!;
+  for (let i = 0; i < 6; i++) {
+    h.tick();
+    assert.equal(job.placements.size, 0, h.trace());
+    assert.deepEqual([job.pendingCount, ...job.pending()], [0]);
+  }
+  assert.deepEqual(startedIn(h, "j"), []);
+  // It ends: now there is no doubt, and the task is placed once more.
+  h.pending.splice(0);
+  h.report(other, [task("j", 0, 7, "exited", "stopped")]);
+  for (let i = 0; i < 4; i++) h.tick();
+  assert.equal(startedIn(h, "j").length, 1, h.trace());
+});
+
+test("quota: a start is kept back while unrecorded tasks take its team over the limit", () => {
+  const h = ready();
+  h.report("m3a", []);
+  h.report("m4b", []);
+  h.report("m5a", [], { type: "big" });
+  h.submit(spec("old", { tasks: 1, cpus: 4, kind: "service" }));
+  h.pending.splice(0);
+  h.storing = false;
+  // 16 CPUs are the limit, and 4 of them are in use.
+  h.submit(spec("j", { tasks: 3, cpus: 4 }));
+  assert.equal(h.scheduler.cluster.usageOf("vision").cpus, 16);
+  h.report("m5a", [task("old", 0, 9)], { type: "big" });
+  assert.equal(h.scheduler.cluster.usageOf("vision").cpus, 20);
+  h.storing = true;
+  h.store();
+  assert.equal(startedIn(h, "j").length, 2, h.trace());
+});
+
+test("wrong_place: a worker's own report corrects what is known of its machine", () => {
+  const h = ready();
+  const request = { type: "small", zone: "a", spot: false, count: 1 };
+  h.scheduler.rented(request, { machines: ["m9b"] }, h.now);
+  const m = h.scheduler.cluster.machines.get("m9b")!;
+  assert.equal(m.zone, "a");
+  h.report("m9b", [], { type: "big", zone: "b", spot: true });
+  assert.deepEqual([m.type.name, m.zone, m.spot], ["big", "b", true]);
+  // The list is the cloud's word, and may be old: the worker's stands.
+  const listed = { name: "m9b", address: "m9b:9000", state: "running", ageS: 30 } as const;
+  h.scheduler.list([{ ...listed, type: "small", zone: "a", spot: false }], h.now);
+  assert.deepEqual([m.type.name, m.zone, m.spot], ["big", "b", true]);
+  const records = [...h.records.groups.values()].map((g) => g.value.m9b);
+  assert.deepEqual(records, [["m9b:9000", "big", "b", true]]);
+});
+
+test("wrong_place: a machine proves to be elsewhere between placement and start", () => {
+  const h = ready();
+  h.storing = false;
+  h.submit(spec("j", { tasks: 1, zone: "a" }));
+  const [p] = h.scheduler.cluster.jobs.get("j")!.placements.values();
+  assert.equal(p!.machine.name, "m1a");
+  h.report("m1a", [], { zone: "b" });
+  h.storing = true;
+  h.store();
+  assert.deepEqual(startedIn(h, "j"), []);
+  const records = [...h.records.groups.values()].map((g) => g.value.m1a);
+  assert.deepEqual(records, [["m1a:9000", "small", "b", false]]);
+});
+
+test("wrong_place: a task on a machine without a record may be in any zone", () => {
+  const old = ready();
+  old.submit(spec("s", { tasks: 3, kind: "service", spread: true, spot: false }));
+  old.submit(spec("z", { tasks: 6, oneZone: true }));
+  for (const [n, g] of old.records.groups) {
+    const value = Object.fromEntries(Object.entries(g.value).filter(([name]) => name !== "m1a"));
+    store(old.records, `g/${n}`, value);
+  }
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  h.report("m2b", []);
+  h.report("m3b", []);
+  for (let i = 0; i < 20; i++) h.tick();
+  const m1a = h.scheduler.cluster.machines.get("m1a")!;
+  assert.equal(m1a.zone, "");
+  for (const job of ["s", "z"]) {
+    const here = [...h.scheduler.cluster.jobs.get(job)!.placements.values()];
+    const onUnknown = here.filter((p) => p.machine === m1a).length;
+    const started = startedIn(h, job).length;
+    const most = job === "s" ? 2 : 0;
+    assert.ok(onUnknown === 0 || onUnknown + started <= most, `${job}: ${onUnknown}, ${started}`);
+  }
+});
+
+test("a service whose zone has no room for the rest of it moves as a whole", () => {
+  const h = new TestLeader();
+  const types = new Map(["m1a", "m2b", "m3b", "m4b"].map((name) => [name, "small"]));
+  const workers = new Workers(h, types, () => 1e9);
+  workers.run(4);
+  h.submit(spec("first", { tasks: 2, kind: "service", team: "maps", zone: "b", spot: false }));
+  h.submit(spec("s", { tasks: 8, kind: "service", team: "maps", oneZone: true, spot: false }));
+  workers.run(8);
+  const zonesNow = (): Set<string> =>
+    new Set([...h.scheduler.cluster.jobs.get("s")!.placements.values()].map((p) => p.machine.zone));
+  assert.deepEqual(zonesNow(), new Set(["b"]));
+  // Two of the zone's three machines are lost, and four come up in the other zone.
+  workers.lose("m3b");
+  workers.lose("m4b");
+  workers.add("m5a", "small");
+  workers.add("m6a", "small");
+  workers.run(150);
+  assert.deepEqual(zonesNow(), new Set(["a"]));
+  assert.equal(h.scheduler.cluster.jobs.get("s")!.pendingCount, 0);
+  assert.deepEqual(workers.twice, []);
+});
+
+test("a service stays and waits where no other zone takes all of it", () => {
+  const h = new TestLeader();
+  const types = new Map(["m1a", "m2b", "m3b"].map((name) => [name, "small"]));
+  const workers = new Workers(h, types, () => 1e9);
+  workers.run(4);
+  h.submit(spec("s", { tasks: 8, kind: "service", team: "maps", oneZone: true, spot: false }));
+  workers.run(8);
+  workers.lose("m3b");
+  workers.run(150);
+  const placed = [...h.scheduler.cluster.jobs.get("s")!.placements.values()];
+  assert.deepEqual(new Set(placed.map((p) => p.machine.zone)), new Set(["b"]));
+  assert.equal(placed.length, 4);
+});
+
+test("room is rented and made where a job's other tasks allow it", () => {
+  const h = ready();
+  h.submit(spec("j", { tasks: 6, oneZone: true, spot: false, team: "maps" }));
+  const job = h.scheduler.cluster.jobs.get("j")!;
+  const bound = job.zones.mainZone;
+  for (let i = 0; i < 8; i++) {
+    const rental = wanted(
+      {
+        cluster: h.scheduler.cluster,
+        settings: siteFor({}).settings,
+        types: TYPES,
+        now: h.now,
+        refused: new Map(),
+        spare: 0,
+        maxMachines: 50,
+        // The other zone has the fewest machines, so it is preferred where both will do.
+        inZone: new Map([[bound!, 1000]]),
+        late: new Map(),
+      },
+      [job],
+      [],
+    );
+    assert.equal(rental?.zone, bound);
+    h.tick();
+  }
+});
+
+test("a successor stops what is left of a gang that had lost tasks", () => {
+  const old = ready();
+  old.submit(spec("g", { kind: "gang", tasks: 6, spread: true }));
+  for (const _ of [0, 1]) {
+    const o = old.pending[0]!;
+    old.answer(o.commands.filter((c) => c.op === "start").map((c) => task("g", c.task, c.attempt)));
+  }
+  // One machine's session ends; its tasks are stored as gone, and the leader ends before it has stopped the rest.
+  old.report("m1a", [], { session: 2 });
+  const h = new TestLeader({ records: old.records, epoch: 2, now: old.now });
+  h.epoch = 2;
+  const left = [...h.scheduler.cluster.jobs.get("g")!.placements.values()];
+  assert.equal(left.length, 3);
+  h.report(
+    "m2b",
+    left.map((p) => task("g", p.task, p.attempt)),
+  );
+  assert.match(h.trace(), /stop g\/\d#1/);
+});
+
+test("422: a gang that is to be spread and may be in one zone only can never run", () => {
+  const { settings, types } = siteFor({});
+  const gang = spec("g", { kind: "gang", tasks: 4, spread: true });
+  assert.equal(canEverRun(gang, settings, types), true);
+  assert.equal(canEverRun({ ...gang, zone: "a" }, settings, types), false);
+  assert.equal(canEverRun({ ...gang, kind: "array", zone: "a" }, settings, types), true);
+  assert.equal(canEverRun({ ...gang, types: [] }, settings, types), false);
+  assert.equal(canEverRun({ ...gang, zone: "nowhere" }, settings, types), false);
+});
+
+test("constraints arrive as they were sent", () => {
+  const of = (change: Record<string, unknown>) => decodeJob(jobBody(change));
+  const { breeds: _, paddock: __, ...bare } = jobBody();
+  assert.deepEqual([decodeJob(bare)?.types, decodeJob(bare)?.zone], [null, null]);
+  assert.deepEqual(of({ breeds: [] })?.types, []);
+  assert.deepEqual(of({ breeds: ["g8", "c4"], paddock: "b" })?.types, ["g8", "c4"]);
+  assert.equal(of({ paddock: "" }), null);
+  assert.equal(of({ together: null }), null);
+  assert.equal(of({ together: true, apart: true }), null);
+  const both = of({ together: true, loaners: false });
+  assert.deepEqual([both?.oneZone, both?.spread, both?.spot], [true, false, false]);
+});
