Room that a gang had begun to make in one zone does not bind it there

Counting zones for room being made would have kept a gang that now gathers in another zone from making room there, until the reservations lapse. Seen while reading the change again; the test fails without it.

--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -133,9 +133,10 @@
     if (job.spec.kind === "gang" && job.spec.tasks > 1 && job.heldZone === null) return;
     const zones = job.zones.copy();
     for (const m of this.context.cluster.machines.values()) {
-      if (m.reservedFor?.job === job) {
-        need -= zones.takeRoom(m.zone, slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb));
-      }
+      if (m.reservedFor?.job !== job) continue;
+      const whole = slots(job.spec, m.type.cpus, m.type.gpus, m.type.memoryGb);
+      // A gang that gathers in a zone may have begun to in another, which does not bind it.
+      need -= job.heldZone ? whole : zones.takeRoom(m.zone, whole);
     }
     for (let i = 0; need > 0 && i < MACHINES_A_JOB && searches.left > 0; i++) {
       searches.left--;
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -249,3 +249,22 @@
   }
   await node.stop();
 });
+
+test("room that a gang had begun to make in one zone does not keep it from making room in another", () => {
+  const h = gpuMachines(["m1a", "m2b", "m3b"]);
+  for (const m of ["m1a", "m2b", "m3b"]) {
+    h.submit(gpu(`low-${m}`, { kind: "array", priority: "low", zone: m.at(-1)! }));
+  }
+  for (let i = 0; i < 3; i++) h.answer([task(h.pending[0]!.commands[0]!.job, 0, 1)]);
+  h.submit(gpu("gang", { tasks: 2, oneZone: true, priority: "high" }));
+  const job = h.scheduler.cluster.jobs.get("gang")!;
+  const until = h.now + 100;
+  h.scheduler.cluster.machines.get("m1a")!.reservedFor = { job, until, held: false };
+  h.trace();
+  for (let i = 0; i < 4; i++) {
+    for (const m of ["m1a", "m2b", "m3b"]) h.quietReport(m, [task(`low-${m}`, 0, 1)]);
+    h.tick(1);
+  }
+  assert.equal(job.heldZone, "b");
+  assert.match(h.trace(), /send m[23]b: stop low-m[23]b/);
+});
