Boot timeouts, failure history and feasibility in modules of their own; standard names

Patience, wish, former life, office, neglected and stray are gone from names and comments (the log message 'stray task' stays, as others may rely on it).

--- a/src/api/intake.ts
+++ b/src/api/intake.ts
@@ -40,8 +40,8 @@
     private readonly mostOps: number,
     private readonly maxBytes: number,
     private readonly valueBytes: number,
-    /** How long a wish may wait for its turn, in seconds. */
-    private readonly patienceS: number,
+    /** How long a submission or cancellation may wait for its transaction, in seconds. */
+    private readonly maxWaitS: number,
   ) {
     this.maxOps = mostOps;
   }
@@ -91,7 +91,7 @@
 
   private enqueue(conditions: Condition[], change: Change, bytes: number): Promise<IntakeResult> {
     return new Promise((resolve) => {
-      const deadline = this.now() + this.patienceS;
+      const deadline = this.now() + this.maxWaitS;
       this.queue.push({ conditions, change, bytes, deadline, resolve });
       if (!this.running) void this.run();
     });
@@ -102,7 +102,7 @@
     while (this.queue.length > 0) {
       const wait = this.writes.wait(1, this.now());
       if (wait > 0) {
-        await sleep(Math.min(wait, this.patienceS / 4));
+        await sleep(Math.min(wait, this.maxWaitS / 4));
         this.expire();
         continue;
       }
@@ -170,8 +170,8 @@
     // Over the limit, or nobody knows. Either way the same conditional write may be sent again: a
     // copy that still arrives and one that was executed both make it fail as `known`.
     this.queue.unshift(...batch);
-    if (r.kind === "unknown") await sleep(this.patienceS / 20);
-    else await sleep(this.patienceS / 40);
+    if (r.kind === "unknown") await sleep(this.maxWaitS / 20);
+    else await sleep(this.maxWaitS / 40);
     this.expire();
   }
 }
--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -29,7 +29,7 @@
   judge(spec: JobSpec): "fits" | "never" | "unknown";
   /** "never": it names a job that was never accepted, or is too large to be stored. */
   submit(spec: JobSpec): Promise<SubmitResult>;
-  /** "ok": the wish to cancel is stored; "known": that, or the job's end, was there already. */
+  /** "ok": the cancellation is stored; "known": it, or the job's end, was there already. */
   cancel(id: string): Promise<IntakeResult>;
   /** The job's end, done or cancelled, once it is stored; null if it is not in so many seconds. */
   ended(id: string, withinS: number): Promise<JobView | null>;
@@ -54,7 +54,7 @@
   /** Seconds after which a refused client may come back. */
   readonly retryAfterS: number;
   /** Seconds within which a cancelled job is to be over; its user is told to come back otherwise. */
-  readonly patienceS: number;
+  readonly maxWaitS: number;
   /** Seconds after which an idle connection is closed. */
   readonly idleS: number;
   /** Told of faults of our own. */
@@ -207,7 +207,7 @@
 
   private async cancel(id: string, reply: FastifyReply): Promise<FastifyReply> {
     const { options, backend } = this;
-    const deadline = options.now() + options.patienceS;
+    const deadline = options.now() + options.maxWaitS;
     const answered = await this.limited(options.mutations, reply, () =>
       this.storeCancellation(id, reply),
     );
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -10,12 +10,13 @@
 import { Cloud } from "./cloud/client.js";
 import type { Operator } from "./config/operator.js";
 import { Bucket } from "./core/bucket.js";
+import { canEverRun } from "./core/feasibility.js";
 import { LeaseKeeper } from "./core/lease-keeper.js";
 import { AdaptiveLimit } from "./core/limit.js";
 import type { JobSpec, JobView, MachineType, Report } from "./core/model.js";
 import type { Output } from "./core/outputs.js";
 import { KEY, Records, type Touched } from "./core/records.js";
-import { canEverRun, Scheduler } from "./core/scheduler.js";
+import { Scheduler } from "./core/scheduler.js";
 import { type Contact, StandbyResponder } from "./core/standby-responder.js";
 import { OWN, WriteBudget } from "./core/write-budget.js";
 import type { Write } from "./core/writer.js";
@@ -149,7 +150,7 @@
       mutations: limit(),
       now: steady,
       retryAfterS: 1,
-      patienceS: c.reportS / 3,
+      maxWaitS: c.reportS / 3,
       // A peer that vanished without a word must not hold a socket for long.
       idleS: Math.max(10, 4 * c.reportS),
       took: (what, tookS, status) => {
@@ -339,7 +340,7 @@
   // ---------------------------------------------------------------- changes of the records
 
   /**
-   * A fault in the core must not end the process, nor leave a leader in office whose view may be
+   * A fault in the core must not end the process, nor leave a leader whose view may be
    * half changed: whoever takes the term next starts from the records.
    */
   private guarded(f: () => void): void {
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -2,11 +2,9 @@
 import { GangStarts } from "./gang-starts.js";
 import type { LiveJob } from "./live-job.js";
 import type { Machine } from "./machine.js";
-import type { JobSpec, MachineType, Team } from "./model.js";
+import { AMOUNT_TOLERANCE, type JobSpec, type MachineType, type Team } from "./model.js";
 import type { Placement } from "./placement.js";
 
-const EPSILON = 1e-6;
-
 export interface Usage {
   cpus: number;
   gpus: number;
@@ -17,7 +15,7 @@
   readonly machines = new Map<string, Machine>();
   readonly usage = new Map<string, Usage>();
   readonly teams = new Map<string, Team>();
-  /** Classes of which a neglected job has just gone first, and until when the others do. */
+  /** Classes of which a starving job has just gone first, and until when the others do. */
   readonly othersFirst = new Map<string, number>();
   readonly gangStarts = new GangStarts();
 
@@ -41,9 +39,9 @@
     const u = this.usageOf(spec.team);
     let n = Number.MAX_SAFE_INTEGER;
     if (team.cpusMax > 0 && spec.cpus > 0)
-      n = Math.min(n, Math.floor((team.cpusMax - u.cpus + EPSILON) / spec.cpus));
+      n = Math.min(n, Math.floor((team.cpusMax - u.cpus + AMOUNT_TOLERANCE) / spec.cpus));
     if (team.gpusMax > 0 && spec.gpus > 0)
-      n = Math.min(n, Math.floor((team.gpusMax - u.gpus + EPSILON) / spec.gpus));
+      n = Math.min(n, Math.floor((team.gpusMax - u.gpus + AMOUNT_TOLERANCE) / spec.gpus));
     return Math.max(0, n);
   }
 
@@ -53,8 +51,8 @@
     if (team === undefined) return true;
     const { cpus, gpus } = this.usageOf(teamName);
     return (
-      (team.cpusMax <= 0 || cpus <= team.cpusMax + EPSILON) &&
-      (team.gpusMax <= 0 || gpus <= team.gpusMax + EPSILON)
+      (team.cpusMax <= 0 || cpus <= team.cpusMax + AMOUNT_TOLERANCE) &&
+      (team.gpusMax <= 0 || gpus <= team.gpusMax + AMOUNT_TOLERANCE)
     );
   }
 
@@ -70,8 +68,8 @@
   }
 
   /** Books a placement on its machine and against its team, where it counts until released. */
-  add(p: Placement, stray = false): void {
-    if (stray) p.job.unrecorded.add(p);
+  add(p: Placement, unrecorded = false): void {
+    if (unrecorded) p.job.unrecorded.add(p);
     else p.job.placements.set(p.task, p);
     const part = p.job.partOf(p.task);
     if (p.version > part.placed) part.placed = p.version;
@@ -123,8 +121,8 @@
       sum.cpus += job.spec.cpus * job.spec.tasks;
       sum.gpus += job.spec.gpus * job.spec.tasks;
       const fits =
-        (team.cpus <= 0 || sum.cpus <= team.cpus + EPSILON) &&
-        (team.gpus <= 0 || sum.gpus <= team.gpus + EPSILON);
+        (team.cpus <= 0 || sum.cpus <= team.cpus + AMOUNT_TOLERANCE) &&
+        (team.gpus <= 0 || sum.gpus <= team.gpus + AMOUNT_TOLERANCE);
       if (fits) out.add(job.spec.id);
     }
     return out;
--- a/src/core/faults.ts
+++ b/src/core/faults.ts
@@ -29,7 +29,7 @@
   if (job.done.size > 0) return true;
   for (const p of job.placements.values()) {
     if (p.state !== "running" || p.machine === except) continue;
-    if (now - p.runningSince > job.failedAfterS + reportS) return true;
+    if (now - p.runningSince > job.failures.failedAfterS + reportS) return true;
   }
   return false;
 }
@@ -70,26 +70,30 @@
   private failed(p: Placement, now: number): void {
     const { job, machine } = p;
     const { reportS } = this.context.settings;
-    if (p.timed) job.failedAfterS = Math.max(job.failedAfterS, now - p.runningSince);
-    job.avoid(machine.name, now + BEGIN_S / 4);
-    if (job.failedOn.size <= few(job)) job.failedOn.add(machine.name);
-    if (job.suspect !== null) {
+    if (p.timed)
+      job.failures.failedAfterS = Math.max(job.failures.failedAfterS, now - p.runningSince);
+    job.failures.avoid(machine.name, now + BEGIN_S / 4);
+    if (job.failures.failedOn.size <= few(job)) job.failures.failedOn.add(machine.name);
+    if (job.failures.suspect !== null) {
       // Those that were placed before it was suspected tell nothing new.
-      if (p.placedAt <= job.suspect.since) return;
-      job.suspect.tries++;
-    } else if (!faresWell(job, now, reportS) && job.failedOn.size >= FEW) {
-      job.suspect = { since: now, tries: 0 };
-      this.context.log("job fails everywhere", { job: job.spec.id, machines: job.failedOn.size });
+      if (p.placedAt <= job.failures.suspect.since) return;
+      job.failures.suspect.tries++;
+    } else if (!faresWell(job, now, reportS) && job.failures.failedOn.size >= FEW) {
+      job.failures.suspect = { since: now, tries: 0 };
+      this.context.log("job fails everywhere", {
+        job: job.spec.id,
+        machines: job.failures.failedOn.size,
+      });
     } else {
       machine.failures.set(job, now);
       this.accused.add(machine);
       if (job.spec.kind === "gang") job.backoffUntil = now + reportS / 4;
       // Some of its tasks fail and others do not: it goes on, at a rate.
-      else if (job.failedOn.size > few(job)) job.backoffUntil = now + reportS;
+      else if (job.failures.failedOn.size > few(job)) job.backoffUntil = now + reportS;
       this.judge(machine, now);
     }
-    if (job.suspect !== null) {
-      const wait = reportS * 2 ** Math.min(job.suspect.tries, 10);
+    if (job.failures.suspect !== null) {
+      const wait = reportS * 2 ** Math.min(job.failures.suspect.tries, 10);
       job.backoffUntil = now + Math.min(wait, BEGIN_S / 4);
     }
   }
@@ -100,9 +104,9 @@
     if (now - this.reviewedAt < reportS / 2) return;
     this.reviewedAt = now;
     for (const job of this.context.cluster.jobs.values()) {
-      if (job.suspect === null || !faresWell(job, now, reportS)) continue;
+      if (job.failures.suspect === null || !faresWell(job, now, reportS)) continue;
       this.context.log("job fares well after all", { job: job.spec.id });
-      job.suspect = null;
+      job.failures.suspect = null;
       job.backoffUntil = Number.NEGATIVE_INFINITY;
       this.context.needPlan = true;
     }
@@ -110,7 +114,8 @@
       for (const [job, at] of m.failures) {
         // A job that fails everywhere, or that ended before it was known, says nothing of its machines.
         const unproven = job.cancelled && !faresWell(job, now, reportS);
-        if (job.suspect !== null || unproven || now - at > AGE * leaseS) m.failures.delete(job);
+        if (job.failures.suspect !== null || unproven || now - at > AGE * leaseS)
+          m.failures.delete(job);
       }
       if (m.failures.size === 0 || m.state !== "up") this.accused.delete(m);
       else this.judge(m, now);
@@ -123,7 +128,7 @@
     let sound = 0;
     for (const job of m.failures.keys()) {
       // What fails on many machines is followed by its failures, even if other tasks of it do well.
-      if (job.failedOn.size <= few(job) && faresWell(job, now, reportS, m)) sound++;
+      if (job.failures.failedOn.size <= few(job) && faresWell(job, now, reportS, m)) sound++;
     }
     if (sound >= 2) {
       const machines = this.context.cluster.machines;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,6 @@
 /** The machines that the cloud gives: renting, listing and returning them. */
 
+import { BootTimeouts } from "./boot-timeouts.js";
 import type { Dispatch } from "./dispatch.js";
 import { Groups } from "./groups.js";
 import type { LeaderContext } from "./leader-context.js";
@@ -16,10 +17,6 @@
   wanted,
 } from "./renting.js";
 
-/** Usual times to boot after which a machine goes back as one that never comes up, at first and at most. */
-const PATIENCE = 4;
-const MOST_PATIENCE = 12;
-
 /** Of a value, what the records of machines in it may take; the rest is for those that join them. */
 const GROUP_FILLED = 0.6;
 
@@ -30,6 +27,7 @@
   readonly shapes = new Map<string, Shape>();
   /** Jobs that wait for room, as of the last pass. */
   waiting: LiveJob[] = [];
+  private readonly bootTimeouts = new BootTimeouts();
   private readonly refused = new Map<string, number>();
   private readonly listed = new Map<string, number>();
   private readonly pendingReturns = new Map<string, string>();
@@ -61,30 +59,18 @@
     else this.shapes.set(spec.class, { spec, running: s.running });
   }
 
-  /** It came up: so others of its type may take as long. */
   cameUp(m: Machine, now: number): void {
-    const took = (now - m.bootingSince) / m.type.bootS;
-    const patience = this.patience.get(m.type.name) ?? PATIENCE;
-    const next = Math.max(PATIENCE, 2 * took, 0.9 * patience);
-    this.patience.set(m.type.name, Math.min(next, MOST_PATIENCE));
+    this.bootTimeouts.cameUp(m, now);
   }
 
-  /**
-   * Machines that do not come up go back; after each the next of the type has longer, up to a bound. (If
-   * all take longer than what is waited for, none would ever come.)
-   */
+  /** Machines that do not come up go back. */
   returnLate(now: number): void {
     for (const m of this.context.cluster.machines.values()) {
-      if (m.state !== "booting") continue;
-      const { name, bootS } = m.type;
-      const patience = this.patience.get(name) ?? PATIENCE;
-      if (now - m.bootingSince <= patience * bootS) continue;
+      if (m.state !== "booting" || !this.bootTimeouts.isOver(m, now)) continue;
       this.askReturn(m, "never came up");
-      this.patience.set(name, Math.min(1.1 * patience, MOST_PATIENCE));
+      this.bootTimeouts.expired(m);
     }
   }
-  /** By type, in usual times to boot. */
-  private readonly patience = new Map<string, number>();
 
   askReturn(m: Machine, why: string): void {
     if (this.pendingReturns.has(m.name) || m.state === "gone") return;
--- a/src/core/job-lifecycle.ts
+++ b/src/core/job-lifecycle.ts
@@ -96,7 +96,7 @@
 
   /**
    * The end of a job is stored. It is an event for those that name it: their starts become acceptable, or
-   * are rejected for good, and then their own failed events are heeded by the next.
+   * are rejected for good, and then their own failed events are applied to the next.
    */
   private applyEndToFollowers(records: Records, id: string, now: number): void {
     const ended = [id];
--- a/src/core/live-job.ts
+++ b/src/core/live-job.ts
@@ -3,6 +3,7 @@
  * others, and which of this is stored.
  */
 import type { Expression } from "../algebra/expression.js";
+import { FailureHistory } from "./failure-history.js";
 import { type JobSpec, rankOf } from "./model.js";
 import { fixedBytes, Part } from "./parts.js";
 import { acceptable, eventName, residuals, written } from "./pipeline.js";
@@ -52,14 +53,7 @@
   calledOff = false;
   started = false;
   backoffUntil = Number.NEGATIVE_INFINITY;
-  /** Machines on which a task of it failed, and until when it keeps off them. */
-  private readonly avoided = new Map<string, number>();
-  /** Machines on which a task of it ever failed; a few are enough to know. */
-  readonly failedOn = new Set<string>();
-  /** The longest that a task of it ran before it failed, in seconds. */
-  failedAfterS = 0;
-  /** It fails wherever it goes, as far as is known: since when, and tries that have failed since. */
-  suspect: { readonly since: number; tries: number } | null = null;
+  readonly failures = new FailureHistory();
   /** Run times of tasks that completed, in seconds. */
   readonly runTimes: number[] = [];
   /** How strongly it holds its place, the strongest first, as of the last pass. */
@@ -218,21 +212,15 @@
     this.residualsText = written(next);
   }
 
-  avoid(machine: string, until: number): void {
-    this.avoided.set(machine, until);
-  }
-  /** A task of it failed there a while ago. */
-  avoids(machine: string, now: number): boolean {
-    const until = this.avoided.get(machine);
-    if (until === undefined) return false;
-    if (now < until) return true;
-    this.avoided.delete(machine);
-    return false;
+  /** It fails wherever it goes, as far as is known. */
+  get suspected(): boolean {
+    return this.failures.suspect !== null;
   }
   /** A try of it is under way, to see whether it still fails. */
   get onTrial(): boolean {
-    if (this.suspect === null) return false;
-    for (const p of this.placements.values()) if (p.placedAt > this.suspect.since) return true;
+    const { suspect } = this.failures;
+    if (suspect === null) return false;
+    for (const p of this.placements.values()) if (p.placedAt > suspect.since) return true;
     return false;
   }
 
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -1,6 +1,6 @@
 /** A rented machine as the leader knows it: what its worker last said, and what is placed on it. */
 import type { LiveJob } from "./live-job.js";
-import type { JobSpec, MachineType } from "./model.js";
+import { AMOUNT_TOLERANCE, type JobSpec, type MachineType } from "./model.js";
 import type { Placement } from "./placement.js";
 
 export interface EndedTask {
@@ -93,12 +93,11 @@
   }
 }
 
-const EPSILON = 1e-6;
 /** How many tasks of this shape fit into these amounts. */
 export function slots(spec: JobSpec, cpus: number, gpus: number, memory: number): number {
   let n = Number.MAX_SAFE_INTEGER;
-  if (spec.cpus > 0) n = Math.min(n, Math.floor((cpus + EPSILON) / spec.cpus));
-  if (spec.gpus > 0) n = Math.min(n, Math.floor((gpus + EPSILON) / spec.gpus));
-  if (spec.memoryGb > 0) n = Math.min(n, Math.floor((memory + EPSILON) / spec.memoryGb));
+  if (spec.cpus > 0) n = Math.min(n, Math.floor((cpus + AMOUNT_TOLERANCE) / spec.cpus));
+  if (spec.gpus > 0) n = Math.min(n, Math.floor((gpus + AMOUNT_TOLERANCE) / spec.gpus));
+  if (spec.memoryGb > 0) n = Math.min(n, Math.floor((memory + AMOUNT_TOLERANCE) / spec.memoryGb));
   return Math.max(0, n);
 }
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -150,6 +150,9 @@
   readonly clockOffMs: number;
 }
 
+/** Amounts of CPUs, GPUs and GB that differ by less are equal: sums of decimal numbers are not exact. */
+export const AMOUNT_TOLERANCE = 1e-6;
+
 /** The steady clocks of two machines drift apart by at most this share (the protocol's figure). */
 export const CLOCK_DRIFT = 0.0005;
 
--- a/src/core/planning/array-placement.ts
+++ b/src/core/planning/array-placement.ts
@@ -14,7 +14,7 @@
   const most =
     job.partSize === null ? fittingValue(job, on, quota, ctx) : fittingParts(job, on, ctx);
   // One task shows as well as all of them whether the job still fails.
-  const limit = Math.min(quota, most.tasks, job.suspect === null ? quota : 1);
+  const limit = Math.min(quota, most.tasks, !job.suspected ? quota : 1);
   const tasks = take(placeable(job, ctx), limit);
   if (tasks.length === 0) return;
   const placed = place(job, tasks, on.slice(0, most.machines), ctx);
--- a/src/core/planning/candidates.ts
+++ b/src/core/planning/candidates.ts
@@ -41,7 +41,7 @@
     let fits = slots(job.spec, m.freeCpus, m.freeGpus, m.freeMemory);
     if (fits === 0 || !roomOpenTo(m, job)) continue;
     if (!machineAllowed(job.spec, m) || job.zones.roomIn(m.zone) === 0) continue;
-    if (job.avoids(m.name, ctx.now)) continue;
+    if (job.failures.avoids(m.name, ctx.now)) continue;
     // A replica stays for long. It takes a GPU away only when there was time to make room elsewhere.
     if (
       fits > 0 &&
--- a/src/core/planning/context.ts
+++ b/src/core/planning/context.ts
@@ -5,11 +5,9 @@
 import type { Bucket } from "../bucket.js";
 import type { Cluster } from "../cluster.js";
 import type { Machine } from "../machine.js";
-import type { ClusterSettings } from "../model.js";
+import { AMOUNT_TOLERANCE, type ClusterSettings } from "../model.js";
 import { acceptsWork } from "./eligibility.js";
 
-const EPSILON = 1e-6;
-
 export interface PlanContext {
   readonly cluster: Cluster;
   readonly settings: ClusterSettings;
@@ -63,7 +61,7 @@
         if (i.ready) onGpus.set(image, (onGpus.get(image) ?? 0) + 1);
       }
     }
-    if (m.freeCpus < EPSILON || m.freeMemory < EPSILON) continue;
+    if (m.freeCpus < AMOUNT_TOLERANCE || m.freeMemory < AMOUNT_TOLERANCE) continue;
     open.push(m);
     for (const [image, i] of m.images) {
       if (!i.ready) continue;
--- a/src/core/planning/gang-room.ts
+++ b/src/core/planning/gang-room.ts
@@ -29,7 +29,7 @@
   const spread = job.zones.copy();
   for (const m of machinesThatFit(spec, ctx)) {
     if (!roomOpenTo(m, job)) continue;
-    if (!machineAllowed(spec, m) || job.avoids(m.name, ctx.now)) continue;
+    if (!machineAllowed(spec, m) || job.failures.avoids(m.name, ctx.now)) continue;
     const zone = spec.oneZone ? m.zone : "";
     if (taken.has(zone)) continue;
     const room = zones.get(zone) ?? { free: 0, all: 0, made: 0, machines: [] };
@@ -69,7 +69,7 @@
 
 function mayGather(job: LiveJob, ctx: PlanContext): boolean {
   const { tasks } = job.spec;
-  if (tasks < 2 || job.suspect !== null || job.present > 0) return false;
+  if (tasks < 2 || job.suspected || job.present > 0) return false;
   return ctx.cluster.quotaSlots(job.spec) >= tasks;
 }
 
--- a/src/core/planning/gang-size-fairness.ts
+++ b/src/core/planning/gang-size-fairness.ts
@@ -41,7 +41,7 @@
   const most = ctx.settings.zones.length;
   const sizes = new Map<string, SizeQueue>();
   for (const job of queue) {
-    if (job.spec.kind !== "gang" || job.suspect !== null || job.present > 0) continue;
+    if (job.spec.kind !== "gang" || job.suspected || job.present > 0) continue;
     const key = gangSizeKey(job.spec);
     let size = sizes.get(key);
     if (size === undefined) {
--- a/src/core/planning/gpu-reserve.ts
+++ b/src/core/planning/gpu-reserve.ts
@@ -37,7 +37,7 @@
   for (const j of cluster.jobs.values()) {
     if (j.spec.gpus <= 0 || j.waits) continue;
     images.add(j.spec.image);
-    if (!j.cancelled && !j.complete && j.suspect === null) waiting += j.pendingCount;
+    if (!j.cancelled && !j.complete && !j.suspected) waiting += j.pendingCount;
   }
   const free: { m: Machine; held: number }[] = [];
   for (const m of cluster.machines.values()) {
--- a/src/core/planning/planner.ts
+++ b/src/core/planning/planner.ts
@@ -44,7 +44,7 @@
     if (job.pendingCount > 0) {
       job.waitingSince ??= ctx.now;
       // Nothing is stopped, held or rented for a job that fails wherever it goes, or has room.
-      if (job.suspect === null && !forImage) left.push(job);
+      if (!job.suspected && !forImage) left.push(job);
     } else job.waitingSince = null;
   }
   return left;
--- a/src/core/planning/preemption.ts
+++ b/src/core/planning/preemption.ts
@@ -131,7 +131,7 @@
     if (m.reservedFor !== null || zones.roomIn(m.zone) === 0) continue;
     if (zone !== null && m.zone !== zone) continue;
     if (!machineAllowed(job.spec, m)) continue;
-    if (job.avoids(m.name, ctx.now)) continue;
+    if (job.failures.avoids(m.name, ctx.now)) continue;
     if (sparesGpus && replicaBlocksGpus(job, m, reserve)) continue;
     const cheaper: Room | null = roomOn(m, job, ctx, within, bestCost);
     if (cheaper === null) continue;
--- a/src/core/planning/queue-order.ts
+++ b/src/core/planning/queue-order.ts
@@ -26,7 +26,7 @@
   }
   const queueOf = (j: LiveJob): number => {
     // What fails wherever it goes never goes before what has not failed.
-    if (j.suspect !== null) return SUSPECT_QUEUE;
+    if (j.suspected) return SUSPECT_QUEUE;
     if (starving.has(j)) return Math.min(1, j.precedence);
     // Gangs within a guarantee go first while that can still be kept. (In a burst those that were
     // late already went on before all others, in order of arrival, and everybody was late.)
--- a/src/core/planning/starvation.ts
+++ b/src/core/planning/starvation.ts
@@ -16,7 +16,7 @@
 export function starvingOf(waiting: readonly LiveJob[], ctx: PlanContext): Set<LiveJob> {
   const worst = new Map<string, LiveJob[]>();
   for (const j of waiting) {
-    if (j.suspect !== null || j.done.size > 0 || j.present > 0) continue;
+    if (j.suspected || j.done.size > 0 || j.present > 0) continue;
     if (waitedShare(j, ctx) < 0.5) continue;
     if (ctx.now < (ctx.cluster.othersFirst.get(j.spec.class) ?? 0)) continue;
     const of = worst.get(j.spec.class);
@@ -36,7 +36,7 @@
   return out;
 }
 
-/** A neglected job has started: a third of the room of its class is for others. */
+/** A starving job was placed: a third of the room of its class is for others. */
 export function yieldToOthers(job: LiveJob, ctx: PlanContext): void {
   if (!job.starving) return;
   job.starving = false;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -12,20 +12,12 @@
 import type { Group } from "./groups.js";
 import { JobLifecycle } from "./job-lifecycle.js";
 import { LeaderContext, serves } from "./leader-context.js";
-import { type Machine, slots } from "./machine.js";
+import type { Machine } from "./machine.js";
 import { MachineMonitor } from "./machine-monitor.js";
-import type {
-  ClusterSettings,
-  Command,
-  JobSpec,
-  ListedMachine,
-  MachineType,
-  Report,
-} from "./model.js";
+import type { ClusterSettings, Command, ListedMachine, MachineType, Report } from "./model.js";
 import type { Output, SchedulerOptions, SendOutcome, WriteOutcome } from "./outputs.js";
 import { OversizedValues } from "./oversized-values.js";
 import { taskKey } from "./placement.js";
-import { machineAllowed, zonesSuffice } from "./placement-rules.js";
 import { PlanningPass } from "./planning-pass.js";
 import { isNewer, Reconciliation } from "./reconciliation.js";
 import type { Records } from "./records.js";
@@ -375,25 +367,3 @@
     }
   }
 }
-
-/** Can any task of the job ever run, and does the job fit its team's limit? */
-export function canEverRun(
-  spec: JobSpec,
-  settings: ClusterSettings,
-  types: readonly MachineType[],
-): boolean {
-  const team = settings.teams.find((t) => t.name === spec.team);
-  if (team === undefined) return false;
-  const tasks = spec.kind === "array" ? 1 : spec.tasks;
-  if (team.cpusMax > 0 && spec.cpus * tasks > team.cpusMax + 1e-6) return false;
-  if (team.gpusMax > 0 && spec.gpus * tasks > team.gpusMax + 1e-6) return false;
-  const zones = new Set<string>();
-  for (const type of types) {
-    if (slots(spec, type.cpus, type.gpus, type.memoryGb) < 1) continue;
-    for (const zone of type.zones) {
-      if (machineAllowed(spec, { type, zone, spot: false })) zones.add(zone);
-    }
-  }
-  // Of a gang all tasks run at one time, or none does.
-  return zones.size > 0 && (spec.kind !== "gang" || zonesSuffice(spec, zones.size));
-}
--- a/src/leadership.ts
+++ b/src/leadership.ts
@@ -48,19 +48,19 @@
     this.current = null;
   }
 
-  /** After it left office of itself, a node lets the others go first for so long. */
+  /** After it resigned, a node lets the others go first for so long. */
   standBack(forS: number): void {
     this.standBackUntil = this.options.now() + forS;
   }
 
-  /** Nobody leads, or it is this node in a former life: take the term, or end that one. */
+  /** Nobody leads: takes the term. The leader is this node before its process restarted: ends that term first. */
   seek(): void {
     if (this.acquiring || this.stopped || this.current !== null) return;
     const { lead } = this.records;
     if (lead === null) {
       if (this.options.now() >= this.standBackUntil) void this.acquire();
     } else if (lead.value.member === this.options.member) {
-      // The term of this node's former life: nobody acts for it any more.
+      // The term is of the process that ran here before: nobody acts for it any more.
       this.acquiring = true;
       void this.store.revoke(lead.value.lease).then(async () => {
         await this.follower.catchUp();
--- a/tests/faults.test.ts
+++ b/tests/faults.test.ts
@@ -81,7 +81,7 @@
   h.submit(gang("broken", { tasks: 2, oneZone: true }));
   w.run(8);
   const job = h.scheduler.cluster.jobs.get("broken")!;
-  assert.notEqual(job.suspect, null);
+  assert.notEqual(job.failures.suspect, null);
   // Low work fills three of four machines; a gang that needs two comes after the broken one.
   for (let i = 0; i < 3; i++) h.submit(gang(`low${i}`, { priority: "low" }));
   w.run(2);
@@ -111,7 +111,7 @@
   const { h, w } = fleet(6, 0, () => (fails ? "error" : 5));
   h.submit(spec("unlucky", { team: "maps", tasks: 12 }));
   w.run(3);
-  assert.notEqual(h.scheduler.cluster.jobs.get("unlucky")!.suspect, null);
+  assert.notEqual(h.scheduler.cluster.jobs.get("unlucky")!.failures.suspect, null);
   fails = false;
   w.run(25);
   assert.equal(h.records.view("unlucky")?.state, "done");
--- a/tests/storm.test.ts
+++ b/tests/storm.test.ts
@@ -45,7 +45,7 @@
     mutations: new AdaptiveLimit(8, 8, 1),
     now: () => 0,
     retryAfterS: 1,
-    patienceS: 1,
+    maxWaitS: 1,
     idleS: 10,
     took: () => {},
     fault: (e) => assert.fail(e),
--- a/tests/wrong-place.test.ts
+++ b/tests/wrong-place.test.ts
@@ -1,10 +1,10 @@
 /** The rule `wrong_place`: a task is where its job allows it, given the job's other tasks at that moment. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { canEverRun } from "../src/core/feasibility.js";
 import type { JobSpec, Kind } from "../src/core/model.js";
 import type { Records } from "../src/core/records.js";
 import { wanted } from "../src/core/renting.js";
-import { canEverRun } from "../src/core/scheduler.js";
 import { decodeJob } from "../src/wire/schema.js";
 import { jobBody, ready, spec, TestLeader, TYPES, task, Workers } from "./helpers.js";
 import { CONSTRAINTS, type Constraint, placeFaults, without } from "./placement-checker.js";
