--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -41,7 +41,7 @@
     private readonly fleet: Fleet,
     private readonly monitor: MachineMonitor,
   ) {
-    this.moves = new ZoneMoves(dispatch);
+    this.moves = new ZoneMoves(context.cluster, dispatch);
   }
 
   /** Runs a pass if it is time for one. */
--- a/src/core/planning/gang-room.ts
+++ b/src/core/planning/gang-room.ts
@@ -34,13 +34,10 @@
     if (taken.has(zone)) continue;
     const room = zones.get(zone) ?? { free: 0, all: 0, made: 0, machines: [] };
     zones.set(zone, room);
-    const whole = spec.spread
-      ? spread.takeRoom(m.zone, wholeMachine(spec, m))
-      : wholeMachine(spec, m);
-    if (whole === 0) continue;
+    const whole = wholeMachine(spec, m);
     const free = slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
     const made = m.reservedFor?.job === job;
-    room.all += whole;
+    room.all += spec.spread ? spread.takeRoom(m.zone, whole) : whole;
     room.free += free;
     if (made) room.made += whole;
     if (free > 0 || made) room.machines.push(m);
--- a/src/core/zone-moves.ts
+++ b/src/core/zone-moves.ts
@@ -4,11 +4,12 @@
  * Tasks in several zones are brought back to one: a version before this one placed them so, and nothing more may
  * start while they are apart. A service whose zone has lost its machines moves as a whole to one that takes it all.
  */
+import type { Cluster } from "./cluster.js";
 import type { Dispatch } from "./dispatch.js";
 import type { LiveJob } from "./live-job.js";
 import { slots } from "./machine.js";
 import { BEGIN_S } from "./model.js";
-import { machineAllowed } from "./placement-rules.js";
+import { machineAllowed, UNKNOWN_ZONE } from "./placement-rules.js";
 import type { Snapshot } from "./planning/context.js";
 import { roomOpenTo } from "./planning/eligibility.js";
 
@@ -23,13 +24,25 @@
 }
 
 export class ZoneMoves {
-  constructor(private readonly dispatch: Dispatch) {}
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly dispatch: Dispatch,
+  ) {}
 
   /** Looks at a job that still has tasks waiting after a pass. */
   consider(job: LiveJob, snapshot: Snapshot, now: number): void {
     if (!job.spec.oneZone || job.spec.kind === "gang") return;
     if (job.zones.isSplit) this.bringTogether(job);
-    else if (mayMove(job, now) && this.zoneForAll(job, snapshot) !== null) this.moveAway(job);
+    else if (mayMove(job, now) && this.zoneLacksRoom(job, snapshot, now)) this.moveAway(job);
+  }
+
+  /** It waits for room and for nothing else, its zone has none, and another has room for all of it. */
+  private zoneLacksRoom(job: LiveJob, snapshot: Snapshot, now: number): boolean {
+    // At its team's limit it would find no more room anywhere.
+    if (this.cluster.quotaSlots(job.spec) <= 0) return false;
+    const free = freeByZone(job, snapshot, now);
+    const here = free.get(job.zones.mainZone ?? UNKNOWN_ZONE) ?? 0;
+    return here === 0 && Math.max(0, ...free.values()) >= job.spec.tasks;
   }
 
   private bringTogether(job: LiveJob): void {
@@ -45,18 +58,17 @@
       this.dispatch.stop(p, "its job moves to another zone", job.spec.saveS);
     }
   }
+}
 
-  /** Another zone with free room for all its tasks. */
-  private zoneForAll(job: LiveJob, snapshot: Snapshot): string | null {
-    const { spec } = job;
-    const free = new Map<string, number>();
-    for (const m of snapshot.open) {
-      if (m.zone === job.zones.mainZone || !machineAllowed(spec, m) || !roomOpenTo(m, job))
-        continue;
-      const room = (free.get(m.zone) ?? 0) + slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
-      free.set(m.zone, room);
-      if (room >= spec.tasks) return m.zone;
-    }
-    return null;
+/** Tasks of the job that fit free machines, by zone. */
+function freeByZone(job: LiveJob, snapshot: Snapshot, now: number): Map<string, number> {
+  const { spec } = job;
+  const free = new Map<string, number>();
+  for (const m of snapshot.open) {
+    const open = machineAllowed(spec, m) && roomOpenTo(m, job) && !job.failures.avoids(m.name, now);
+    if (!open) continue;
+    const fits = slots(spec, m.freeCpus, m.freeGpus, m.freeMemory);
+    free.set(m.zone, (free.get(m.zone) ?? 0) + fits);
   }
+  return free;
 }
--- a/tests/wrong-place.test.ts
+++ b/tests/wrong-place.test.ts
@@ -286,6 +286,48 @@
   assert.equal(placed.length, 4);
 });
 
+test("a service that waits for its team's limit does not move", () => {
+  const h = new TestLeader();
+  const types = new Map(["m1a", "m2a", "m3a", "m4b", "m5b"].map((name) => [name, "small"]));
+  const workers = new Workers(h, types, () => 1e9);
+  workers.run(4);
+  const service = { kind: "service", spot: false } as const;
+  h.submit(spec("first", { ...service, tasks: 10, zone: "a" }));
+  h.submit(spec("full-a", { ...service, tasks: 2, zone: "a", team: "maps" }));
+  h.submit(spec("full-b", { ...service, tasks: 2, zone: "b", team: "maps" }));
+  workers.run(4);
+  // Of the team's 16 CPUs 10 are in use: six replicas of seven run, and fill their zone.
+  h.submit(spec("s", { ...service, tasks: 7, oneZone: true }));
+  workers.run(4);
+  workers.add("m6a", "small");
+  workers.add("m7a", "small");
+  workers.run(150);
+  assert.equal(workers.starts.filter((x) => x.job === "s").length, 6);
+  assert.equal(h.scheduler.cluster.jobs.get("s")!.placements.size, 6);
+});
+
+test("room is gathered for a spread gang on free machines, though others come first", () => {
+  const h = new TestLeader();
+  const names = ["m1a", "m2a", "m3a", "m4a", "m5b", "m6b", "m7b", "m8b"];
+  for (const name of names) h.report(name, [], { type: "big" });
+  const wide = { team: "maps", class: "gpu", cpus: 6, gpus: 4, types: ["big"] };
+  for (const zone of ["a", "b"]) {
+    for (const n of [1, 2, 3]) {
+      h.submit(spec(`now${n}${zone}`, { ...wide, zone, kind: "gang", priority: "high" }));
+    }
+  }
+  while (h.pending.length > 0) {
+    const start = h.pending[0]!.commands[0]!;
+    h.answer([task(start.job, 0, start.attempt)]);
+  }
+  h.submit(spec("g", { ...wide, tasks: 4, spread: true, kind: "gang", priority: "high" }));
+  for (let i = 0; i < 4; i++) h.tick(0.3);
+  const held = [...h.scheduler.cluster.machines.values()].filter(
+    (m) => m.reservedFor?.job.spec.id === "g",
+  );
+  assert.equal(held.length, 2);
+});
+
 test("room is rented and made where a job's other tasks allow it", () => {
   const h = ready();
   h.submit(spec("j", { tasks: 6, oneZone: true, spot: false, team: "maps" }));
