--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -395,6 +395,8 @@
     readonly machine: string;
     readonly at: number;
   }[] = [];
+  /** Tasks that were stopped by command, in order. */
+  readonly stops: { readonly job: string; readonly machine: string }[] = [];
   /** Most tasks that were on machines at one time. */
   peak = 0;
   /** Tasks that were started while they were on another machine. */
@@ -498,6 +500,7 @@
       if (fate === "error") this.end(t, "error");
       else t.endsAt = this.leader.now + fate;
     } else if (c.op === "stop" && known !== undefined && known.task.state !== "exited") {
+      this.stops.push({ job: c.job, machine: name });
       this.end(known, "stopped");
     } else if (c.op === "forget") tasks.delete(key);
   }
--- a/tests/wrong-place.test.ts
+++ b/tests/wrong-place.test.ts
@@ -355,6 +355,22 @@
   }
 });
 
+test("room is made in the zone of a job's other tasks", () => {
+  const h = new TestLeader();
+  const types = new Map(["m1a", "m2b", "m3b"].map((name) => [name, "small"]));
+  const workers = new Workers(h, types, () => 1e9);
+  workers.run(4);
+  h.submit(spec("low", { tasks: 11, priority: "low", team: "maps" }));
+  workers.run(4);
+  // One machine has a free place for one task; the rest of the job needs room in that zone.
+  h.submit(spec("s", { tasks: 3, kind: "service", priority: "production", oneZone: true }));
+  const job = h.scheduler.cluster.jobs.get("s")!;
+  const bound = job.zones.mainZone;
+  workers.run(20);
+  assert.equal(job.placements.size, 3);
+  assert.deepEqual(new Set(workers.stops.map((x) => zoneOf(x.machine))), new Set([bound]));
+});
+
 test("a successor stops what is left of a gang that had lost tasks", () => {
   const old = ready();
   old.submit(spec("g", { kind: "gang", tasks: 6, spread: true }));
