--- a/tests/simulation.ts
+++ b/tests/simulation.ts
@@ -12,12 +12,13 @@
 import { KEY, Records, type StoredJob } from "../src/core/records.js";
 import { Scheduler } from "../src/core/scheduler.js";
 import type { Write } from "../src/core/writer.js";
-import type { Change, Condition, Event } from "../src/wire/state.js";
+import type { Change, Condition } from "../src/wire/state.js";
 import { spec, task } from "./helpers.js";
 import { type Place, placeFaults } from "./placement-checker.js";
+import { LEASE_S, SimulatedMachine, type SimulatedTask } from "./simulated-machine.js";
 import { type Site, siteOf } from "./simulated-sites.js";
+import { SimulatedStore } from "./simulated-store.js";
 
-const LEASE = 21;
 const GRACE = 21;
 const KEEP = 42;
 
@@ -29,44 +30,6 @@
   readonly what: string;
 }
 
-/** A task on a machine: it fetches its image until `imageAt`. */
-interface SimulatedTask {
-  report: TaskReport;
-  endsAt: number;
-  readonly imageAt: number;
-}
-
-class Machine {
-  session = 1;
-  seq = 0;
-  token = 0;
-  leaseUntil: number;
-  nextReport: number;
-  mute = 0;
-  deaf = 0;
-  hung = 0;
-  /** It is cut off with former leaders until then: the present one neither hears nor reaches it. */
-  apart = 0;
-  readonly tasks = new Map<string, SimulatedTask>();
-  constructor(
-    readonly name: string,
-    readonly type: string,
-    readonly zone: string,
-    readonly spot: boolean,
-    now: number,
-  ) {
-    this.leaseUntil = now + LEASE;
-    this.nextReport = now;
-  }
-}
-
-const placeOf = ({ name, type, zone, spot }: Machine): Place => ({
-  machine: name,
-  type,
-  zone,
-  spot,
-});
-
 interface Leader {
   readonly scheduler: Scheduler;
   readonly records: Records;
@@ -87,7 +50,7 @@
   now = 1000;
   readonly broken: Broken[] = [];
   readonly trace: string[] = [];
-  readonly machines = new Map<string, Machine>();
+  readonly machines = new Map<string, SimulatedMachine>();
   readonly accepted = new Map<string, JobSpec>();
   private readonly submitted = new Map<string, JobSpec>();
   readonly askedToCancel = new Set<string>();
@@ -99,10 +62,8 @@
   troubled = true;
   private readonly random;
   readonly site: Site;
-  private readonly keys = new Map<string, { value: unknown; mark: number }>();
-  private readonly log: Event[] = [];
-  private revision = 1;
-  private readonly truth = new Records();
+  private readonly store = new SimulatedStore();
+  private readonly truth = this.store.records;
   private leader: Leader | null = null;
   private readonly former: Leader[] = [];
   private vacantSince: number;
@@ -131,10 +92,9 @@
       message: [5, 15, 80][this.pick(3)]!,
       write: [5, 20, 100][this.pick(3)]!,
     };
-    this.truth.reset([], 0);
     this.vacantSince = this.now;
     for (const { type, zone, spot } of this.site.machines) this.birth(type, zone, spot);
-    this.commit([], [{ op: "put", key: KEY.epoch, value: { n: 0 } }]);
+    this.store.commit([], [{ op: "put", key: KEY.epoch, value: { n: 0 } }]);
   }
 
   private pick(n: number): number {
@@ -154,7 +114,7 @@
     this.broken.push({ rule, what });
   }
   private birth(type: string, zone: string, spot: boolean, name = this.newName(zone)): void {
-    const m = new Machine(name, type, zone, spot, this.now);
+    const m = new SimulatedMachine(name, type, zone, spot, this.now);
     this.machines.set(m.name, m);
     this.note(`${m.name} is up: ${type}, ${zone}${spot ? ", spot" : ""}`);
   }
@@ -164,26 +124,8 @@
 
   // ------------------------------------------------------------ state service
 
-  private commit(conditions: readonly Condition[], changes: readonly Change[]): boolean {
-    for (const c of conditions) {
-      if ((this.keys.get(c.key)?.mark ?? 0) !== c.mark) return false;
-    }
-    this.revision++;
-    for (const c of changes) {
-      const value = c.op === "put" ? JSON.parse(JSON.stringify(c.value)) : null;
-      if (c.op === "put") this.keys.set(c.key, { value, mark: this.revision });
-      else this.keys.delete(c.key);
-      this.log.push({ key: c.key, value, removed: c.op === "delete", mark: this.revision });
-    }
-    this.truth.apply(this.log.slice(-changes.length), this.revision);
-    return true;
-  }
-
   private follow(l: Leader): void {
-    const { ledger } = l.records;
-    let from = this.log.length;
-    while (from > 0 && this.log[from - 1]!.mark > ledger) from--;
-    const touched = l.records.apply(this.log.slice(from), this.revision);
+    const touched = l.records.apply(this.store.changesSince(l.records.ledger), this.store.revision);
     if (l.records.epoch.value.n > l.epoch && !l.raising) this.lose("another epoch");
     else for (const id of touched.jobs) l.scheduler.recordChanged(l.records, id, this.now);
   }
@@ -193,8 +135,8 @@
   /** A user's conditional write: carried out, late, or with its answer lost. */
   private userWrite(conditions: Condition[], change: Change, answered: () => void): void {
     if (this.chance(this.odds.write))
-      this.later(2 + this.pick(10), () => this.commit(conditions, [change]));
-    else if (this.commit(conditions, [change]) && !this.chance(this.odds.write)) answered();
+      this.later(2 + this.pick(10), () => this.store.commit(conditions, [change]));
+    else if (this.store.commit(conditions, [change]) && !this.chance(this.odds.write)) answered();
   }
 
   submit(): void {
@@ -305,35 +247,16 @@
 
   // ------------------------------------------------------------ machines
 
-  /** A direct request gets there and its answer back. */
-  private reaches(m: Machine): boolean {
-    return this.now >= Math.max(m.deaf, m.hung, m.apart);
+  private expire(m: SimulatedMachine): void {
+    if (m.expire(this.now)) this.note(`${m.name}: lease over`);
   }
 
-  private expire(m: Machine): void {
-    if (this.now <= m.leaseUntil) return;
-    if (m.tasks.size > 0) this.note(`${m.name}: lease over`);
-    m.tasks.clear();
-    m.session++;
-    m.leaseUntil = this.now + LEASE;
-  }
-
-  private reportOf(m: Machine): Report {
-    return {
-      machine: m.name,
-      address: `${m.name}:9000`,
-      type: m.type,
-      zone: m.zone,
-      spot: m.spot,
-      session: m.session,
-      seq: ++m.seq,
-      token: m.token,
-      noticeS: null,
-      tasks: [...m.tasks.values()].map((t) => ({ ...t.report })),
-    };
+  private answerOf(m: SimulatedMachine): Report {
+    this.expire(m);
+    return m.report();
   }
 
-  private execute(m: Machine, commands: readonly Command[]): void {
+  private execute(m: SimulatedMachine, commands: readonly Command[]): void {
     for (const c of commands) {
       const key = `${c.job}/${c.task}#${c.attempt}`;
       const known = m.tasks.get(key);
@@ -349,7 +272,7 @@
     t.report = { ...t.report, state: "exited", cause };
   }
 
-  private begin(m: Machine, c: Command, key: string): void {
+  private begin(m: SimulatedMachine, c: Command, key: string): void {
     const job = this.submitted.get(c.job);
     if (job === undefined) return;
     const imageAt = this.now + [0, 0, 2, 9][this.pick(4)]!;
@@ -389,22 +312,22 @@
   /** A task comes to a machine, given the job's other tasks of these at this moment. */
   private checkPlace(
     t: SimulatedTask,
-    m: Machine,
+    m: SimulatedMachine,
     event: string,
     counts: (other: TaskReport) => boolean,
   ): void {
     const { job, task: number, attempt } = t.report;
     const others: Place[] = [];
     for (const [on, other] of this.present(job)) {
-      if (other !== t.report && counts(other)) others.push(placeOf(this.machines.get(on)!));
+      if (other !== t.report && counts(other)) others.push(this.machines.get(on)!.place);
     }
-    for (const { what } of placeFaults(this.submitted.get(job)!, placeOf(m), others)) {
+    for (const { what } of placeFaults(this.submitted.get(job)!, m.place, others)) {
       this.breaks("wrong_place", `${job}/${number}#${attempt} ${event} ${what}`);
     }
   }
 
   /** The image is there: from now on the task counts as being on its machine. */
-  private imagesArrive(m: Machine): void {
+  private imagesArrive(m: SimulatedMachine): void {
     for (const t of m.tasks.values()) {
       if (t.report.state !== "fetching" || this.now < t.imageAt) continue;
       t.report = { ...t.report, state: "running" };
@@ -412,7 +335,7 @@
     }
   }
 
-  private runTasks(m: Machine): void {
+  private runTasks(m: SimulatedMachine): void {
     this.imagesArrive(m);
     for (const t of m.tasks.values()) {
       const { report } = t;
@@ -429,10 +352,10 @@
     }
   }
 
-  private reportNow(m: Machine): void {
+  private reportNow(m: SimulatedMachine): void {
     m.nextReport = this.now + 2.3 + this.pick(15) / 10;
     const sent = this.now;
-    const r = this.reportOf(m);
+    const r = m.report();
     if (this.chance(4)) this.kept.push(r);
     if (this.now < m.mute) return;
     this.later(this.chance(this.odds.message) ? 1 + this.pick(40) : 0.02, () =>
@@ -440,7 +363,7 @@
     );
   }
 
-  private arrives(r: Report, m: Machine | null, sent: number): void {
+  private arrives(r: Report, m: SimulatedMachine | null, sent: number): void {
     const answer = this.answerTo(r);
     if (answer === null || m === null) return;
     this.later(0.02, () => {
@@ -448,7 +371,7 @@
       this.expire(m);
       if (answer.token < m.token || r.session !== m.session) return;
       m.token = answer.token;
-      m.leaseUntil = Math.max(m.leaseUntil, sent + LEASE);
+      m.leaseUntil = Math.max(m.leaseUntil, sent + LEASE_S);
       this.execute(m, answer.commands);
     });
   }
@@ -476,7 +399,7 @@
       return { token, commands };
     }
     const epoch = this.truth.epoch.value.n;
-    if (epoch > 0 && r.token <= epoch && this.now - this.vacantSince < LEASE / 3) {
+    if (epoch > 0 && r.token <= epoch && this.now - this.vacantSince < LEASE_S / 3) {
       return { token: epoch, commands: [] };
     }
     return null;
@@ -487,10 +410,12 @@
   private succeed(): void {
     const epoch = this.truth.epoch.value.n + 1;
     const mark = this.truth.epoch.mark;
-    this.commit([{ key: KEY.epoch, mark }], [{ op: "put", key: KEY.epoch, value: { n: epoch } }]);
+    this.store.commit(
+      [{ key: KEY.epoch, mark }],
+      [{ op: "put", key: KEY.epoch, value: { n: epoch } }],
+    );
     const records = new Records();
-    const items = [...this.keys].map(([key, e]) => ({ key, ...e }));
-    records.reset(items, this.revision);
+    records.reset(this.store.items(), this.store.revision);
     const options = {
       spare: 0,
       maxMachines: this.site.maxMachines,
@@ -531,9 +456,7 @@
       else if (o.kind === "show") {
         this.later(0.05, () => {
           const m = this.machines.get(o.machine);
-          const there = m !== undefined && this.reaches(m);
-          if (there) this.expire(m);
-          const report = there ? this.reportOf(m) : null;
+          const report = m?.reaches(this.now) ? this.answerOf(m) : null;
           back(() => l.scheduler.shown(o.machine, report, this.now));
         });
       } else if (o.kind === "return") {
@@ -594,13 +517,13 @@
     const token = l.epoch;
     const deliver = (): Report | null => {
       const m = this.machines.get(o.machine);
-      if (m === undefined || !this.reaches(m)) return null;
+      if (m === undefined || !m.reaches(this.now)) return null;
       this.expire(m);
       const fits = token >= m.token && o.session === m.session;
       m.token = Math.max(m.token, token);
       if (fits) this.execute(m, o.commands);
       executed = fits;
-      return this.reportOf(m);
+      return m.report();
     };
     let executed = false;
     const lost = (): void =>
@@ -628,7 +551,7 @@
       if (this.leader !== l) return;
       const n = l.epoch + 1;
       const conditions = [{ key: KEY.epoch, mark: l.epochMark }];
-      const ok = this.commit(conditions, [{ op: "put", key: KEY.epoch, value: { n } }]);
+      const ok = this.store.commit(conditions, [{ op: "put", key: KEY.epoch, value: { n } }]);
       this.follow(l);
       l.raising = false;
       if (ok) {
@@ -662,13 +585,13 @@
     if (this.chance(this.odds.write)) return this.later(0.1, () => finish("refused", 0));
     if (this.chance(this.odds.write)) {
       this.note("a write is held up");
-      this.later(2 + this.pick(11), () => void this.commit(w.conditions, w.changes));
+      this.later(2 + this.pick(11), () => void this.store.commit(w.conditions, w.changes));
       return this.later(1, () => finish("unknown", 0));
     }
     const answerLost = this.chance(this.odds.write);
     this.later(0.03, () => {
-      const ok = this.commit(w.conditions, w.changes);
-      const { revision } = this;
+      const ok = this.store.commit(w.conditions, w.changes);
+      const { revision } = this.store;
       if (answerLost) this.later(1, () => finish("unknown", 0));
       else this.later(0.02, () => finish(ok ? "ok" : "conflict", revision));
     });
