--- a/tests/end-to-end.test.ts
+++ b/tests/end-to-end.test.ts
@@ -1,6 +1,7 @@
 /** Real processes on loopback: the leader is killed or stands still while tasks run. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { spec } from "./helpers.js";
 import { eventually, ProcessSite } from "./process-site.js";
 import { sleep } from "./site.js";
 
@@ -26,7 +27,7 @@
     assert.ok(site.rules.starts >= 48);
     const again = await site.submit(leader, ids[0]!, { strides: 1 });
     assert.deepEqual(again, { status: 200, state: "done" });
-    site.rules.submitted("run-nobody", 1);
+    site.rules.submitted(spec("run-nobody"));
     assert.equal((await site.query(leader, "run-nobody")).status, 404);
 
     // A leader stands still while its clocks run, and another takes the term. What it had in its buffers
--- a/tests/mixed-versions.test.ts
+++ b/tests/mixed-versions.test.ts
@@ -46,9 +46,10 @@
 /** Jobs of all kinds, one of them in parts, that run for long or are done soon. */
 async function submitAll(site: ProcessSite, node: number, name: string): Promise<string[]> {
   const ended = [`array-${name}`, `gang-${name}`, `large-${name}`];
-  await site.submit(node, `long-service-${name}`, { gait: "service", strides: 2, rideS: 0 });
-  await site.submit(node, `long-gang-${name}`, { gait: "ensemble", strides: 2 });
-  await site.submit(node, ended[0]!, { strides: 3 });
+  const service = { gait: "service", strides: 2, rideS: 0, apart: true };
+  await site.submit(node, `long-service-${name}`, service);
+  await site.submit(node, `long-gang-${name}`, { gait: "ensemble", strides: 2, together: true });
+  await site.submit(node, ended[0]!, { strides: 3, paddock: "b" });
   await site.submit(node, ended[1]!, { gait: "ensemble", strides: 2 });
   await site.submit(node, ended[2]!, { ...TINY, strides: LARGE });
   return ended;
--- a/tests/process-site.ts
+++ b/tests/process-site.ts
@@ -7,6 +7,7 @@
 import { fileURLToPath } from "node:url";
 import { Peer } from "../src/net/client.js";
 import { decode, encode } from "../src/wire/msgpack.js";
+import { decodeJob } from "../src/wire/schema.js";
 import { jobBody, settingsText } from "./helpers.js";
 import { RuleLog } from "./rule-log.js";
 import { freePorts, sleep } from "./site.js";
@@ -108,6 +109,8 @@
         LEASE_MS,
         (task, machine, on, cause) => this.rules.task(task, machine, on, cause),
       );
+      const { name, zone } = worker;
+      this.rules.machine({ machine: name, type: "small", zone, spot: false });
       await worker.start();
       this.cloud.workers.set(worker.name, worker);
     }
@@ -174,7 +177,7 @@
 
   submit(i: number, id: string, change: Record<string, unknown> = {}): Promise<JobAnswer> {
     const body = jobBody({ nameId: id, outfit: "maps", loaners: false, ...change });
-    this.rules.submitted(id, body.strides as number, change.follows as string[] | undefined);
+    this.rules.submitted(decodeJob(body)!);
     return this.ask(i, id, "POST", "/api/jobs", body);
   }
   query(i: number, id: string): Promise<JobAnswer> {
--- a/tests/rule-log.ts
+++ b/tests/rule-log.ts
@@ -1,9 +1,9 @@
 /** What users and workers were told or did, held against the rules of the protocol. */
-import type { TaskReport } from "../src/core/model.js";
+import type { JobSpec, TaskReport } from "../src/core/model.js";
+import { type Place, placeFaults } from "./placement-checker.js";
 
 interface JobLog {
-  readonly tasks: number;
-  readonly after: readonly string[];
+  readonly spec: JobSpec;
   accepted: boolean;
   cancelAsked: boolean;
   /** The final state that some user was told. */
@@ -17,11 +17,17 @@
   readonly faults: string[] = [];
   starts = 0;
   private readonly jobs = new Map<string, JobLog>();
+  private readonly places = new Map<string, Place>();
 
-  submitted(id: string, tasks: number, after: readonly string[] = []): void {
-    if (this.jobs.has(id)) return;
+  /** Where a machine is, and of what kind. */
+  machine(place: Place): void {
+    this.places.set(place.machine, place);
+  }
+
+  submitted(spec: JobSpec): void {
+    if (this.jobs.has(spec.id)) return;
     const log = { accepted: false, cancelAsked: false, told: null, done: new Set<number>() };
-    this.jobs.set(id, { ...log, tasks, after, on: new Map() });
+    this.jobs.set(spec.id, { ...log, spec, on: new Map() });
   }
 
   cancelAsked(id: string): void {
@@ -41,8 +47,8 @@
     }
     if (state !== "done" && state !== "cancelled") return;
     job.told = state;
-    if (state === "done" && job.done.size < job.tasks) {
-      this.faults.push(`not_done: ${id} with ${job.done.size} of ${job.tasks} tasks`);
+    if (state === "done" && job.done.size < job.spec.tasks) {
+      this.faults.push(`not_done: ${id} with ${job.done.size} of ${job.spec.tasks} tasks`);
     }
     if (state === "cancelled") this.cancelled(id, job);
   }
@@ -56,7 +62,8 @@
   }
 
   private mayBeCancelled(job: JobLog): boolean {
-    return job.cancelAsked || job.after.some((other) => this.mayBeCancelled(this.jobs.get(other)!));
+    const after = job.spec.after ?? [];
+    return job.cancelAsked || after.some((other) => this.mayBeCancelled(this.jobs.get(other)!));
   }
 
   /** A task starts on a machine, or is gone from it. */
@@ -78,11 +85,25 @@
 
   private started(name: string, machine: string, job: JobLog, machines: ReadonlySet<string>): void {
     this.starts++;
+    this.checkPlace(name, machine, job);
     if ([...machines].some((m) => m !== machine)) this.faults.push(`ran_twice: ${name}`);
     if (job.told === "cancelled") this.faults.push(`ran_cancelled: ${name} starts`);
-    for (const other of job.after) {
+    for (const other of job.spec.after ?? []) {
       const needed = this.jobs.get(other)!;
-      if (needed.done.size < needed.tasks) this.faults.push(`too_early: ${name} before ${other}`);
+      if (needed.done.size < needed.spec.tasks)
+        this.faults.push(`too_early: ${name} before ${other}`);
+    }
+  }
+
+  /** A task that starts where the job's other tasks, as they are on machines now, do not allow it. */
+  private checkPlace(name: string, machine: string, job: JobLog): void {
+    const others: Place[] = [];
+    for (const [task, machines] of job.on) {
+      if (name.endsWith(`/${task}`)) continue;
+      for (const other of machines) others.push(this.places.get(other)!);
+    }
+    for (const { what } of placeFaults(job.spec, this.places.get(machine)!, others)) {
+      this.faults.push(`wrong_place: ${name} ${what}`);
     }
   }
 
--- a/tests/wrong-place.test.ts
+++ b/tests/wrong-place.test.ts
@@ -8,6 +8,7 @@
 import { decodeJob } from "../src/wire/schema.js";
 import { jobBody, ready, spec, TestLeader, TYPES, task, Workers } from "./helpers.js";
 import { CONSTRAINTS, type Constraint, placeFaults, without } from "./placement-checker.js";
+import { RuleLog } from "./rule-log.js";
 import { siteFor } from "./simulated-sites.js";
 import { World } from "./simulation.js";
 
@@ -413,3 +414,17 @@
   const both = of({ together: true, loaners: false });
   assert.deepEqual([both?.oneZone, both?.spread, both?.spot], [true, false, false]);
 });
+
+test("the log of what processes did tells a task in a wrong place", () => {
+  const log = new RuleLog();
+  log.machine({ machine: "m1", type: "small", zone: "a", spot: false });
+  log.machine({ machine: "m2", type: "small", zone: "b", spot: true });
+  log.submitted(spec("j", { tasks: 2, oneZone: true, spot: false }));
+  log.task("j/0", "m1", true, null);
+  assert.deepEqual(log.faults, []);
+  log.task("j/1", "m2", true, null);
+  assert.deepEqual(
+    log.faults.map((f) => f.slice(0, 15)),
+    ["wrong_place: j/", "wrong_place: j/"],
+  );
+});
