--- /dev/null
+++ b/src/admission/replica.ts
@@ -0,0 +1,209 @@
+/**
+ * A controller's replica of the admission state: a pure reducer over the changes that the state service stored, in their
+ * order. All controllers that have read up to a revision hold the same state and have logged the same decisions.
+ */
+import type { JobSpec } from "../core/model.js";
+import { KEY, type Marked, type StoredJob } from "../core/records.js";
+import type { Event, Item } from "../wire/state.js";
+import { decodeLedger, decodeRejections, decodeWindow, parseKey } from "./codec.js";
+import { decide, limits } from "./decision.js";
+import {
+  type AdmissionWindow,
+  type LoggedDecision,
+  laneOf,
+  type Reason,
+  type RejectionRecord,
+  type TeamLedger,
+  type Verdict,
+} from "./model.js";
+
+const JOB_PREFIX = KEY.live("");
+/** The version of a job's value as it is submitted; each later write has a higher one. */
+const SUBMITTED = 1;
+/** Rejections of so many earlier windows may still be on their way. */
+const LATE_WINDOWS = 4;
+
+export class AdmissionReplica {
+  window: Marked<AdmissionWindow> | null = null;
+  /** Current term, under which the window must have been written to be in force. */
+  epoch = 0;
+  /** Every change up to this revision is in. */
+  revision = -1;
+  private readonly ledgers = new Map<string, Marked<TeamLedger>>();
+  private readonly rejections = new Map<string, Marked<RejectionRecord>>();
+  /** By window: jobs whose rejection is logged, as two controllers may each have refused one. */
+  private readonly rejected = new Map<number, Set<string>>();
+
+  /** Starts afresh from a full read. */
+  reset(items: readonly Item[], revision: number): LoggedDecision[] {
+    this.window = null;
+    this.epoch = 0;
+    this.ledgers.clear();
+    this.rejections.clear();
+    this.rejected.clear();
+    for (const item of items) this.store(item.key, item.value, item.mark);
+    this.revision = revision;
+    return [{ kind: "reread", revision, window: this.version }];
+  }
+
+  /** Applies what following returned, and returns the decisions in it; changes that are in already are passed over. */
+  apply(events: readonly Event[], revision: number): LoggedDecision[] {
+    const out: LoggedDecision[] = [];
+    let same: Event[] = [];
+    for (const event of events) {
+      if (event.mark <= this.revision) continue;
+      if (same.length > 0 && same[0]!.mark !== event.mark) {
+        this.applyRevision(same, out);
+        same = [];
+      }
+      same.push(event);
+    }
+    if (same.length > 0) this.applyRevision(same, out);
+    this.revision = Math.max(this.revision, revision);
+    return out;
+  }
+
+  /** The changes of one transaction. */
+  private applyRevision(events: readonly Event[], out: LoggedDecision[]): void {
+    const revision = events[0]!.mark;
+    const charged = new Set<string>();
+    for (const event of events) {
+      const key = parseKey(event.key);
+      if (key?.kind === "ledger") charged.add(key.team);
+      if (event.removed) this.remove(event.key);
+      else this.store(event.key, event.value, event.mark);
+      if (key?.kind === "rejections") this.logRejections(key.member, revision, out);
+    }
+    for (const event of events) {
+      const job = submittedIn(event);
+      if (job !== null) out.push(this.admission(job, revision, charged.has(job.team)));
+    }
+    this.revision = revision;
+  }
+
+  private admission(job: JobSpec, revision: number, charged: boolean): LoggedDecision {
+    const limited = limits(this.window?.value ?? null, this.epoch);
+    const uncharged: Reason = limited ? "not charged" : "open";
+    return {
+      kind: "admit",
+      revision,
+      window: this.version,
+      job: job.id,
+      team: job.team,
+      class: job.class,
+      lane: laneOf(job),
+      reason: limited && charged ? "within share" : uncharged,
+    };
+  }
+
+  private logRejections(member: string, revision: number, out: LoggedDecision[]): void {
+    const record = this.rejections.get(member)?.value;
+    if (record === undefined) return;
+    const logged = this.rejected.get(record.window) ?? new Set<string>();
+    this.rejected.set(record.window, logged);
+    for (const refused of record.classes) {
+      const { team, class: className, lane } = refused;
+      const line = {
+        kind: "reject",
+        revision,
+        window: record.window,
+        team,
+        class: className,
+        lane,
+      } as const;
+      for (const job of refused.ids) {
+        if (logged.has(job)) continue;
+        logged.add(job);
+        out.push({ ...line, job, jobs: 1, reason: "share used" });
+      }
+      const counted = refused.jobs - refused.ids.length;
+      if (counted > 0) out.push({ ...line, job: null, jobs: counted, reason: "share used" });
+    }
+  }
+
+  private store(key: string, value: unknown, mark: number): void {
+    if (key === KEY.epoch) {
+      this.epoch = (value as { n: number }).n;
+      return;
+    }
+    const parsed = parseKey(key);
+    if (parsed === null) return;
+    if (parsed.kind === "window") this.storeWindow(decodeWindow(value), mark);
+    else if (parsed.kind === "ledger") {
+      const ledger = decodeLedger(value);
+      // What cannot be read counts as empty; its mark is needed all the same to replace it.
+      this.ledgers.set(parsed.team, { value: ledger ?? EMPTY_LEDGER, mark });
+    } else {
+      const record = decodeRejections(parsed.member, value);
+      if (record !== null) this.rejections.set(parsed.member, { value: record, mark });
+    }
+  }
+
+  private storeWindow(window: AdmissionWindow | null, mark: number): void {
+    this.window = { value: window ?? UNREADABLE_WINDOW, mark };
+    for (const version of this.rejected.keys()) {
+      if (version < this.version - LATE_WINDOWS) this.rejected.delete(version);
+    }
+  }
+
+  private remove(key: string): void {
+    const parsed = parseKey(key);
+    if (parsed === null) return;
+    if (parsed.kind === "window") this.window = null;
+    else if (parsed.kind === "ledger") this.ledgers.delete(parsed.team);
+    else this.rejections.delete(parsed.member);
+  }
+
+  /** Version of the newest window; 0: there is none. */
+  get version(): number {
+    return this.window?.value.version ?? 0;
+  }
+
+  /** Does a window limit admission now? */
+  get limited(): boolean {
+    return limits(this.window?.value ?? null, this.epoch);
+  }
+
+  get windowMark(): number {
+    return this.window?.mark ?? 0;
+  }
+
+  ledger(team: string): TeamLedger | null {
+    return this.ledgers.get(team)?.value ?? null;
+  }
+
+  ledgerMark(team: string): number {
+    return this.ledgers.get(team)?.mark ?? 0;
+  }
+
+  rejectionsOf(member: string): Marked<RejectionRecord> | null {
+    return this.rejections.get(member) ?? null;
+  }
+
+  /** The newest rejections of every controller. */
+  allRejections(): RejectionRecord[] {
+    return [...this.rejections.values()].map((r) => r.value);
+  }
+
+  decide(job: JobSpec): Verdict {
+    return decide(this.window?.value ?? null, this.epoch, this.ledger(job.team), job);
+  }
+}
+
+const EMPTY_LEDGER: TeamLedger = { window: 0, used: new Map() };
+/** A window of a form that this version does not know limits nothing. */
+const UNREADABLE_WINDOW: AdmissionWindow = {
+  version: 0,
+  epoch: 0,
+  mode: "open",
+  capacity: { cpus: 0, gpus: 0, memoryGb: 0 },
+  grants: [],
+  periods: [],
+};
+
+/** The job that an event submits; null: it does something else. */
+function submittedIn(event: Event): JobSpec | null {
+  if (event.removed || !event.key.startsWith(JOB_PREFIX)) return null;
+  const stored = event.value as StoredJob;
+  return stored.v === SUBMITTED ? stored.j : null;
+}
--- /dev/null
+++ b/src/admission/settings.ts
@@ -0,0 +1,111 @@
+/** The operators' settings of admission control: sections `admission` and `admission.calendar.<name>` of the INI file. */
+import { z } from "zod";
+import { type Calendar, isTimeZone, type Period, type Weekday } from "./calendar.js";
+
+export interface AdmissionSettings {
+  readonly enabled: boolean;
+  /** Length of a window, as a ratio to the workers' report interval. */
+  readonly windowRatio: number;
+  /** Unfinished work that a class may have admitted beyond its share, as a ratio to the share. */
+  readonly queueRatio: number;
+  readonly calendar: Calendar;
+}
+
+const WEEKDAYS: Readonly<Record<string, Weekday>> = {
+  mon: 1,
+  tue: 2,
+  wed: 3,
+  thu: 4,
+  fri: 5,
+  sat: 6,
+  sun: 7,
+};
+const EVERY_DAY = Object.keys(WEEKDAYS).join(",");
+const TIME = /^([01]\d|2[0-4]):([0-5]\d)$/;
+const MINUTES_A_DAY = 24 * 60;
+
+const flag = z
+  .union([z.boolean(), z.enum(["true", "false"])])
+  .transform((v) => v === true || v === "true");
+
+const timeOfDay = z.string().transform((text, context) => {
+  const found = TIME.exec(text);
+  const minutes = found === null ? Number.NaN : 60 * Number(found[1]) + Number(found[2]);
+  if (!(minutes <= MINUTES_A_DAY)) {
+    context.addIssue({ code: "custom", message: "not a time of day HH:MM" });
+    return z.NEVER;
+  }
+  return minutes;
+});
+
+const weekdays = z.string().transform((text, context) => {
+  const days: Weekday[] = [];
+  for (const word of text.split(",")) {
+    const day = WEEKDAYS[word.trim().toLowerCase()];
+    if (day === undefined) {
+      context.addIssue({ code: "custom", message: `no weekday: ${word.trim()}` });
+      return z.NEVER;
+    }
+    days.push(day);
+  }
+  return days;
+});
+
+/** A number in a text; an empty text is no number. */
+const number = (min: number, max: number) =>
+  z
+    .union([z.number(), z.string().trim().min(1, "missing")])
+    .transform(Number)
+    .pipe(z.number().min(min).max(max));
+
+const period = z.object({
+  days: weekdays.default(() => weekdays.parse(EVERY_DAY)),
+  from: timeOfDay,
+  to: timeOfDay,
+  team: z.string().min(1),
+  class: z.string().min(1).optional(),
+  weight: number(0.01, 100),
+});
+
+const schema = z.object({
+  enabled: flag.default(false),
+  window_ratio: number(0.2, 20).default(1),
+  queue_ratio: number(0.1, 100).default(2),
+  time_zone: z.string().refine(isTimeZone, "not a time zone").default("UTC"),
+  calendar: z.record(z.string(), period).default({}),
+});
+
+export interface DecodedAdmission {
+  readonly settings: AdmissionSettings | null;
+  readonly faults: readonly string[];
+  readonly unknown: readonly string[];
+}
+
+/** `given`: the section as the INI parser left it; nothing if it is missing. */
+export function decodeAdmission(given: unknown): DecodedAdmission {
+  if (given !== undefined && (typeof given !== "object" || given === null)) {
+    return { settings: null, faults: ["admission: not a section"], unknown: [] };
+  }
+  const section = (given ?? {}) as Record<string, unknown>;
+  const unknown = Object.keys(section)
+    .filter((key) => !(key in schema.shape))
+    .map((key) => `admission.${key}`);
+  const read = schema.safeParse(section);
+  if (!read.success) {
+    const faults = read.error.issues.map((i) => `admission.${i.path.join(".")}: ${i.message}`);
+    return { settings: null, faults, unknown };
+  }
+  const { enabled, window_ratio, queue_ratio, time_zone, calendar } = read.data;
+  const periods: Period[] = Object.entries(calendar).map(([name, p]) => ({
+    ...p,
+    name,
+    class: p.class ?? null,
+  }));
+  const settings: AdmissionSettings = {
+    enabled,
+    windowRatio: window_ratio,
+    queueRatio: queue_ratio,
+    calendar: { timeZone: time_zone, periods },
+  };
+  return { settings, faults: [], unknown };
+}
--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -12,7 +12,8 @@
   encodeView,
   idIsValid,
 } from "../wire/schema.js";
-import type { IntakeResult, SubmitResult } from "./intake.js";
+import type { IntakeResult } from "./intake.js";
+import type { SubmissionOutcome } from "./submissions.js";
 
 const BODY_LIMIT = 64 * 1024;
 /** Those refused for being too many come back over so many seconds. */
@@ -28,7 +29,7 @@
   /** Can it ever run? "unknown" while the machine types are not known. */
   judge(spec: JobSpec): "fits" | "never" | "unknown";
   /** "never": it names a job that was never accepted, or is too large to be stored. */
-  submit(spec: JobSpec): Promise<SubmitResult>;
+  submit(spec: JobSpec): Promise<SubmissionOutcome>;
   /** "ok": the cancellation is stored; "known": it, or the job's end, was there already. */
   cancel(id: string): Promise<IntakeResult>;
   /** The job's end, done or cancelled, once it is stored; null if it is not in so many seconds. */
@@ -196,6 +197,10 @@
       return send(reply, 201, encodeView(accepted, false));
     }
     if (result === "never") return send(reply, 422, { error: "can never run" });
+    if (typeof result === "object") {
+      reply.header("retry-after", String(result.retryAfterS));
+      return send(reply, 429, { error: "share used" });
+    }
     const answered = result === "known" ? await this.answerKnown(spec.id, reply) : null;
     return answered ?? this.refuse(reply, 503, "unavailable");
   }
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -1,6 +1,7 @@
 /** The operators' own settings: an INI file, all of it optional. */
 import { parse } from "ini";
 import { z } from "zod";
+import { type AdmissionSettings, decodeAdmission } from "../admission/index.js";
 
 const ratio = (d: number, min: number, max: number) =>
   z.coerce.number().min(min).max(max).default(d);
@@ -39,6 +40,7 @@
   readonly maxMachines: number;
   readonly idleLeases: number;
   readonly maxInProgress: number;
+  readonly admission: AdmissionSettings;
 }
 
 /** Faults stop the program; unknown keys are only reported. */
@@ -64,11 +66,18 @@
     for (const i of r.error.issues) faults.push(`${section}.${i.path.join(".")}: ${i.message}`);
     return null;
   };
-  for (const key of Object.keys(raw)) if (!(key in schema)) unknown.push(key);
+  for (const key of Object.keys(raw)) {
+    if (!(key in schema) && key !== "admission") unknown.push(key);
+  }
   const term = read("term", schema.term);
   const renting = read("renting", schema.renting);
   const api = read("api", schema.api);
-  if (term === null || renting === null || api === null) return { operator: null, faults, unknown };
+  const admission = decodeAdmission(raw.admission);
+  faults.push(...admission.faults);
+  unknown.push(...admission.unknown);
+  if (term === null || renting === null || api === null || admission.settings === null) {
+    return { operator: null, faults, unknown };
+  }
   return {
     operator: {
       termLeaseRatio: term.lease_ratio,
@@ -78,6 +87,7 @@
       maxMachines: renting.max_machines,
       idleLeases: renting.idle_leases,
       maxInProgress: api.max_in_progress,
+      admission: admission.settings,
     },
     faults,
     unknown,
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -4,9 +4,11 @@
  */
 import type { FastifyInstance } from "fastify";
 import type { Logger } from "pino";
+import { AdmissionControl, type LoggedDecision } from "./admission/index.js";
 import { Ends } from "./api/ends.js";
 import { Intake } from "./api/intake.js";
 import { type ApiBackend, buildServer } from "./api/server.js";
+import { Submissions } from "./api/submissions.js";
 import { Cloud } from "./cloud/client.js";
 import type { Operator } from "./config/operator.js";
 import { Bucket } from "./core/bucket.js";
@@ -37,6 +39,8 @@
 const OTHERS = 3;
 /** A transaction's limit by the protocol, less room for the message around it. */
 const TXN_BYTES = 60 * 1024;
+/** Times in a report interval at which the leader looks whether admission must be limited. */
+const ADMISSION_LOOKS = 8;
 
 export class Controller implements ApiBackend {
   private readonly records = new Records();
@@ -45,6 +49,9 @@
   private readonly workers: Workers;
   private readonly follower: Follower;
   private readonly intake: Intake;
+  private readonly submissions: Submissions;
+  /** Null: it is switched off. */
+  private readonly admission: AdmissionControl | null;
   private readonly ends: Ends;
   private readonly mesh: Mesh;
   private readonly writes: Bucket;
@@ -86,8 +93,16 @@
     this.workers = new Workers(answerMs, workerSockets(c.sockets, 0));
     // Reads that catch up and watches each take a quarter of this node's share of requests.
     const spacing = (4 * c.nodes) / c.stateRps;
-    this.follower = new Follower(this.store, this.records, steady, spacing, answerMs, (t) =>
-      this.changed(t),
+    this.admission = operator.admission.enabled ? this.newAdmission() : null;
+    const changed = (t: Touched | null): void => this.changed(t);
+    this.follower = new Follower(
+      this.store,
+      this.records,
+      steady,
+      spacing,
+      answerMs,
+      changed,
+      this.admission,
     );
     this.writeBudget = new WriteBudget(c.stateWriteRps);
     this.writes = new Bucket(this.writeShare(false), this.writeBurst(false));
@@ -109,7 +124,9 @@
       TXN_BYTES,
       1024 * c.valueKb,
       c.reportS / 3,
+      this.admission ?? undefined,
     );
+    this.submissions = new Submissions(this.records, this.follower, this.intake, this.admission);
     this.leadership = new Leadership(this.store, this.follower, this.records, {
       member: settings.member,
       ttlS: Math.max(0.5, operator.termLeaseRatio * c.reportS),
@@ -131,7 +148,14 @@
       },
     });
     this.ends = new Ends((id) => this.records.finals.has(id));
-    this.mesh = new Mesh(
+    this.mesh = this.newMesh();
+    this.app = this.newServer(answerMs);
+  }
+
+  private newMesh(): Mesh {
+    const { settings } = this;
+    const c = settings.cluster;
+    return new Mesh(
       settings.meshAddress,
       settings.siblings.map((x) => x.address),
       steady,
@@ -143,9 +167,14 @@
         zone: Math.max(0, c.zones.indexOf(settings.zone)),
       }),
     );
+  }
+
+  private newServer(answerMs: number): FastifyInstance {
+    const { operator } = this;
+    const c = this.settings.cluster;
     const limit = (): AdaptiveLimit =>
       new AdaptiveLimit(operator.maxInProgress / 50, operator.maxInProgress, answerMs / 2000);
-    this.app = buildServer(this, {
+    return buildServer(this, {
       questions: limit(),
       mutations: limit(),
       now: steady,
@@ -160,6 +189,26 @@
     });
   }
 
+  private newAdmission(): AdmissionControl {
+    return new AdmissionControl(this.operator.admission, this.settings.cluster, {
+      member: this.settings.member,
+      now: steady,
+      wallMs: Date.now,
+      txn: (conditions, changes) => this.store.txn(conditions, changes),
+      catchUp: () => this.follower.catchUp(),
+      wrote: (changes) => this.writes.force(changes, steady()),
+      decided: (decision) => this.logDecision(decision),
+      windowWritten: ({ version, mode, periods }) =>
+        this.log.info({ version, mode, periods }, "admission window"),
+    });
+  }
+
+  /** What an open window admits is of no interest to operators. */
+  private logDecision(decision: LoggedDecision): void {
+    const quiet = decision.kind === "admit" && decision.reason === "open";
+    this.log[quiet ? "debug" : "info"](decision, "admission decision");
+  }
+
   /**
    * The leader writes most, see `WriteBudget`. The others may use five sixths together, and a third each at
    * a time, as submissions come in bursts; if the service refuses some, they are sent again a moment later.
@@ -255,23 +304,7 @@
     if (!this.stateOk()) return "unavailable" as const;
     // Types that do not exist change nothing, and could make the stored value too large.
     const types = spec.types?.filter((t) => this.types.some((x) => x.name === t)) ?? null;
-    const named = await this.named(spec);
-    if (named !== "accepted") return named;
-    return this.intake.submit({ ...spec, types }, Date.now());
-  }
-
-  /**
-   * Were all jobs that must be done before it accepted once? What the copy knows stays known; before it is
-   * said that one never was, the copy holds everything that was stored when this was asked.
-   */
-  private async named(spec: JobSpec): Promise<"accepted" | "never" | "known" | "unavailable"> {
-    const unknown = (): boolean =>
-      spec.after?.some((id) => id === spec.id || this.records.view(id) === null) ?? false;
-    if (!unknown()) return "accepted";
-    if (!(await this.follower.catchUp())) return "unavailable";
-    // A repeated submission is answered with its state, whatever it names by now.
-    if (this.records.view(spec.id) !== null) return "known";
-    return unknown() ? "never" : "accepted";
+    return this.submissions.submit({ ...spec, types });
   }
 
   async cancel(id: string) {
@@ -446,6 +479,7 @@
   private tickOnce(): void {
     const now = steady();
     const leading = this.leadership.current;
+    if (this.follower.loaded) this.admission?.tick();
     if (leading === null) {
       if (this.follower.loaded && this.types.length > 0) this.leadership.seek();
       return;
@@ -453,9 +487,23 @@
     const { term, scheduler } = leading;
     if (!term.acting(now)) return;
     this.perform(scheduler.tick(now, Date.now()));
+    this.leadAdmission(leading, now);
     this.write();
   }
 
+  /** Windows follow the load as the leader sees it; looked at a few times in a report interval. */
+  private leadAdmission({ term, scheduler }: Leading, now: number): void {
+    if (this.admission === null || now < this.admissionAfter) return;
+    this.admissionAfter = now + this.settings.cluster.reportS / ADMISSION_LOOKS;
+    this.admission.lead({
+      cluster: scheduler.cluster,
+      growing: scheduler.isGrowing(now),
+      epoch: term.epoch,
+      epochMark: term.epochMark,
+    });
+  }
+  private admissionAfter = Number.NEGATIVE_INFINITY;
+
   private write(): void {
     const leading = this.leadership.current;
     if (leading === null || this.writing) return;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -19,6 +19,8 @@
 
 /** Of a value, what the records of machines in it may take; the rest is for those that join them. */
 const GROUP_FILLED = 0.6;
+/** A kind that the cloud refused is not asked for again for so many worker leases. */
+const REFUSAL_LEASES = 0.5;
 
 export class Fleet {
   readonly groups: Groups;
@@ -53,6 +55,17 @@
     this.groups.setMaxBytes(GROUP_FILLED * this.context.valueLimit.plannedBytes);
   }
 
+  /** Did the cloud give what was asked for lately, and may more be asked for? */
+  isGrowing(now: number): boolean {
+    if (this.context.cluster.machines.size >= this.context.options.maxMachines) return false;
+    const { leaseS } = this.context.settings;
+    for (const until of this.refused.values()) {
+      const refusedAt = until - REFUSAL_LEASES * leaseS;
+      if (now - refusedAt < leaseS) return false;
+    }
+    return true;
+  }
+
   noteShape(spec: JobSpec): void {
     const s = this.shapes.get(spec.class);
     if (s === undefined) this.shapes.set(spec.class, { spec, running: 0 });
@@ -164,13 +177,13 @@
     const key = offerKey(request.type, request.zone, request.spot);
     if (result === "trouble") this.cloudAfter = now + 1;
     else if (result === "no capacity")
-      this.refused.set(key, now + this.context.settings.leaseS / 2);
+      this.refused.set(key, now + REFUSAL_LEASES * this.context.settings.leaseS);
     else {
       for (const name of result.machines) {
         this.context.machine(name, request.type, request.zone, request.spot, now);
       }
       if (result.machines.length < request.count) {
-        this.refused.set(key, now + this.context.settings.leaseS / 2);
+        this.refused.set(key, now + REFUSAL_LEASES * this.context.settings.leaseS);
       }
     }
   }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -61,6 +61,10 @@
   get cluster() {
     return this.context.cluster;
   }
+  /** The cloud gives more machines when they are asked for. */
+  isGrowing(now: number): boolean {
+    return this.fleet.isGrowing(now);
+  }
   /** Set by the node while it is behind: what can wait is to leave it time. */
   set overloaded(held: boolean) {
     this.dispatch.overloaded = held;
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -5,10 +5,17 @@
  * So whoever wants to answer waits for a read that began after it asked; all who wait share one.
  */
 import type { Records, Touched } from "../core/records.js";
+import type { Event, Item } from "../wire/state.js";
 import type { Store } from "./store.js";
 
 const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
 
+/** Told of everything that was read, in its order, before anybody acts on it. */
+export interface ChangeObserver {
+  reset(items: readonly Item[], revision: number): void;
+  apply(events: readonly Event[], revision: number): void;
+}
+
 export class Follower {
   loaded = false;
   private waiting: ((ok: boolean) => void)[] = [];
@@ -24,6 +31,7 @@
     private readonly spacing: number,
     private readonly blockMs: number,
     private readonly changed: (touched: Touched | null) => void,
+    private readonly observer: ChangeObserver | null = null,
   ) {}
 
   stop(): void {
@@ -39,6 +47,7 @@
           continue;
         }
         this.records.reset(all.items, all.revision);
+        this.observer?.reset(all.items, all.revision);
         this.loaded = true;
         this.changed(null);
       }
@@ -58,6 +67,7 @@
     }
     if (f.kind !== "ok" || !this.loaded) return false;
     const touched = this.records.apply(f.events, f.revision);
+    this.observer?.apply(f.events, f.revision);
     if (touched.jobs.size > 0 || touched.lead) this.changed(touched);
     return true;
   }
