--- a/src/admission/control.ts
+++ b/src/admission/control.ts
@@ -2,6 +2,8 @@
  * Admission control of one controller: feeds its replica, gates its submissions, stores what it refused, and, while it
  * leads, the windows. All decisions are made by the pure modules; this one only passes them on.
  */
+import type { PendingWrite, SubmissionGate } from "../api/intake.js";
+import type { PendingQueue } from "../api/pending-queue.js";
 import type { Cluster } from "../core/cluster.js";
 import type { ClusterSettings, JobSpec } from "../core/model.js";
 import { KEY } from "../core/records.js";
@@ -10,6 +12,7 @@
 import { activePeriods } from "./calendar.js";
 import { ClaimBatch } from "./claims.js";
 import { ADMISSION_KEY, encodeRejections, encodeWindow } from "./codec.js";
+import { FairQueue } from "./fair-queue.js";
 import type { AdmissionWindow, LoggedDecision, RejectionRecord } from "./model.js";
 import { RejectionLog, retryAfterS } from "./rejections.js";
 import { AdmissionReplica } from "./replica.js";
@@ -54,8 +57,10 @@
 
 /** Of a stored value, what grants or rejections may take. */
 const FILLED = 0.6;
+/** No team has this name. */
+const CANCELLATIONS = "";
 
-export class AdmissionControl {
+export class AdmissionControl implements SubmissionGate {
   readonly replica = new AdmissionReplica();
   private readonly rejections: RejectionLog;
   private readonly planner: WindowPlanner;
@@ -88,6 +93,11 @@
 
   // ---------------------------------------------------------------- submissions
 
+  /** Teams' submissions are served in turn; cancellations are a group of their own. */
+  queue(): PendingQueue<PendingWrite> {
+    return new FairQueue((w) => (w.spec === null ? CANCELLATIONS : w.spec.team));
+  }
+
   /** Claims for one more transaction. */
   begin(): ClaimBatch {
     return new ClaimBatch(this.replica);
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -17,11 +17,13 @@
   type LeaderView,
 } from "./control.js";
 export { charge, chargedClass, decide, dominantShare, grantFor, limits } from "./decision.js";
+export { FairQueue } from "./fair-queue.js";
 export { type Claimant, type FairShareInput, fairFractions } from "./fair-share.js";
 export * from "./model.js";
 export { RejectionLog, retryAfterS } from "./rejections.js";
 export { AdmissionReplica } from "./replica.js";
 export { type AdmissionSettings, type DecodedAdmission, decodeAdmission } from "./settings.js";
+export { type AdmissionStatus, admissionStatus, type ClassStatus, formatStatus } from "./status.js";
 export {
   type ClassUsage,
   limitedWindow,
--- a/src/admission/model.ts
+++ b/src/admission/model.ts
@@ -135,5 +135,8 @@
       readonly lane: Lane;
       readonly reason: Reason;
     }
-  /** What was stored before this revision was read as a whole; its single decisions are not known here. */
+  /**
+   * What was stored before this revision was read as a whole: its single decisions, and all rejections of windows up to
+   * this one, are not in this controller's log.
+   */
   | { readonly kind: "reread"; readonly revision: number; readonly window: number };
--- a/src/admission/replica.ts
+++ b/src/admission/replica.ts
@@ -33,6 +33,8 @@
   private readonly rejections = new Map<string, Marked<RejectionRecord>>();
   /** By window: jobs whose rejection is logged, as two controllers may each have refused one. */
   private readonly rejected = new Map<number, Set<string>>();
+  /** Newest window when everything was read as a whole. */
+  private rereadWindow = 0;
 
   /** Starts afresh from a full read. */
   reset(items: readonly Item[], revision: number): LoggedDecision[] {
@@ -43,7 +45,8 @@
     this.rejected.clear();
     for (const item of items) this.store(item.key, item.value, item.mark);
     this.revision = revision;
-    return [{ kind: "reread", revision, window: this.version }];
+    this.rereadWindow = this.version;
+    return [{ kind: "reread", revision, window: this.rereadWindow }];
   }
 
   /** Applies what following returned, and returns the decisions in it; changes that are in already are passed over. */
@@ -98,7 +101,9 @@
 
   private logRejections(member: string, revision: number, out: LoggedDecision[]): void {
     const record = this.rejections.get(member)?.value;
-    if (record === undefined) return;
+    // Which jobs the others have logged of a window that began before everything was read is not known here. (A node
+    // that came back logged jobs of such a window again, which the others had logged before.)
+    if (record === undefined || record.window <= this.rereadWindow) return;
     const logged = this.rejected.get(record.window) ?? new Set<string>();
     this.rejected.set(record.window, logged);
     for (const refused of record.classes) {
--- a/src/admission/settings.ts
+++ b/src/admission/settings.ts
@@ -1,5 +1,6 @@
 /** The operators' settings of admission control: sections `admission` and `admission.calendar.<name>` of the INI file. */
 import { z } from "zod";
+import { flag, number } from "../config/ini-values.js";
 import { type Calendar, isTimeZone, type Period, type Weekday } from "./calendar.js";
 
 export interface AdmissionSettings {
@@ -24,10 +25,6 @@
 const TIME = /^([01]\d|2[0-4]):([0-5]\d)$/;
 const MINUTES_A_DAY = 24 * 60;
 
-const flag = z
-  .union([z.boolean(), z.enum(["true", "false"])])
-  .transform((v) => v === true || v === "true");
-
 const timeOfDay = z.string().transform((text, context) => {
   const found = TIME.exec(text);
   const minutes = found === null ? Number.NaN : 60 * Number(found[1]) + Number(found[2]);
@@ -51,13 +48,6 @@
   return days;
 });
 
-/** A number in a text; an empty text is no number. */
-const number = (min: number, max: number) =>
-  z
-    .union([z.number(), z.string().trim().min(1, "missing")])
-    .transform(Number)
-    .pipe(z.number().min(min).max(max));
-
 const period = z.object({
   days: weekdays.default(() => weekdays.parse(EVERY_DAY)),
   from: timeOfDay,
--- a/src/admission/window.ts
+++ b/src/admission/window.ts
@@ -140,7 +140,12 @@
     capacity,
     teamLimits: limits,
   };
-  const floor = fairFractions({ ...base, capacity: scaleAmounts(capacity, FLOOR) });
+  // The floor is the same for every team: in proportion to guarantees it would be next to nothing for a guest.
+  const floor = fairFractions({
+    ...base,
+    teamWeights: new Map(input.teams.map((t) => [t.name, 1])),
+    capacity: scaleAmounts(capacity, FLOOR),
+  });
   const withinGuarantee: FairShareInput = {
     ...base,
     claimants: wanting.map((c, i) => ({
--- a/src/api/intake.ts
+++ b/src/api/intake.ts
@@ -8,6 +8,7 @@
 import { KEY, type StoredCancel, type StoredJob } from "../core/records.js";
 import type { Store } from "../state/store.js";
 import type { Change, Condition } from "../wire/state.js";
+import { FifoQueue, type PendingQueue } from "./pending-queue.js";
 
 /** `known`: some key was there already, so a read tells. `unavailable`: nothing is certain. */
 export type IntakeResult = "ok" | "known" | "unavailable";
@@ -29,6 +30,8 @@
 
 /** Decides which submissions may be stored. */
 export interface SubmissionGate {
+  /** The queue in which submissions and cancellations wait for their transaction. */
+  queue(): PendingQueue<PendingWrite>;
   begin(): GateBatch;
   /** Reads what is stored now, after a condition of the gate failed. */
   refresh(): Promise<boolean>;
@@ -36,6 +39,7 @@
 
 /** A gate that is open. */
 const NO_GATE: SubmissionGate = {
+  queue: () => new FifoQueue(),
   begin: () => ({ cost: () => 0, admit: () => true, conditions: [], changes: [] }),
   refresh: async () => true,
 };
@@ -46,7 +50,7 @@
 /** Room in a transaction for the conditions and keys of one write. */
 const FRAME_BYTES = 400;
 
-interface PendingWrite {
+export interface PendingWrite {
   readonly conditions: Condition[];
   readonly change: Change;
   readonly bytes: number;
@@ -73,7 +77,7 @@
 }
 
 export class Intake {
-  private queue: PendingWrite[] = [];
+  private readonly queue: PendingQueue<PendingWrite>;
   private running = false;
   /** Submissions in a transaction; fewer after one was refused for what it holds. */
   private maxOps: number;
@@ -89,11 +93,12 @@
     private readonly maxWaitS: number,
     private readonly gate: SubmissionGate = NO_GATE,
   ) {
+    this.queue = gate.queue();
     this.maxOps = mostOps;
   }
 
   get waiting(): number {
-    return this.queue.length;
+    return this.queue.size;
   }
 
   /** Does its value leave room for what its tasks will need? */
@@ -150,7 +155,7 @@
 
   private async run(): Promise<void> {
     this.running = true;
-    while (this.queue.length > 0) {
+    while (this.queue.size > 0) {
       const wait = this.writes.wait(1, this.now());
       if (wait > 0) {
         await sleep(Math.min(wait, this.maxWaitS / 4));
@@ -164,10 +169,7 @@
 
   private expire(): void {
     const now = this.now();
-    const late = this.queue.filter((w) => now > w.deadline);
-    if (late.length === 0) return;
-    this.queue = this.queue.filter((w) => now <= w.deadline);
-    for (const w of late) w.resolve("unavailable");
+    for (const w of this.queue.takeWhere((x) => now > x.deadline)) w.resolve("unavailable");
   }
 
   /** Takes from the queue what goes into one transaction; what the gate refuses is answered. */
@@ -176,8 +178,9 @@
     const batch: PendingWrite[] = [];
     const keys = new Set<string>();
     let bytes = 0;
-    while (this.queue.length > 0 && batch.length < room) {
-      const next = this.queue[0]!;
+    while (batch.length < room) {
+      const next = this.queue.peek();
+      if (next === undefined) break;
       // The same job twice in one transaction: the second waits and finds it known.
       if (keys.has(next.change.key)) break;
       if (batch.length > 0) {
@@ -216,18 +219,18 @@
     if (r.kind === "refused" && r.status === 400 && batch.length > 1) {
       // Larger than the state service takes by now, though not than the limits that are known.
       this.maxOps = Math.max(1, batch.length >> 1);
-      this.queue.unshift(...batch);
+      this.queue.putBack(batch);
       return;
     }
     if (r.kind === "refused" && r.status !== 429) {
       // The state service takes nothing from us now. Say so at once; the user comes back.
       for (const w of batch) w.resolve("unavailable");
-      for (const w of this.queue.splice(0)) w.resolve("unavailable");
+      for (const w of this.queue.takeWhere(() => true)) w.resolve("unavailable");
       return;
     }
     // Over the limit, or nobody knows. Either way the same conditional write may be sent again: a
     // copy that still arrives and one that was executed both make it fail as `known`.
-    this.queue.unshift(...batch);
+    this.queue.putBack(batch);
     if (r.kind === "unknown") await sleep(this.maxWaitS / 20);
     else await sleep(this.maxWaitS / 40);
     this.expire();
@@ -249,7 +252,7 @@
       for (const w of again) w.resolve("unavailable");
       return;
     }
-    this.queue.unshift(...again);
+    this.queue.putBack(again);
     // Another node charged the same ledger, or a new window began: by what is stored now they are judged again.
     if (gateMoved && !(await this.gate.refresh())) await sleep(this.maxWaitS / 20);
     this.expire();
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -2,6 +2,7 @@
 import { parse } from "ini";
 import { z } from "zod";
 import { type AdmissionSettings, decodeAdmission } from "../admission/index.js";
+import { flag } from "./ini-values.js";
 
 const ratio = (d: number, min: number, max: number) =>
   z.coerce.number().min(min).max(max).default(d);
@@ -30,6 +31,10 @@
     /** Requests in progress at the most, whatever the measured times. */
     max_in_progress: z.coerce.number().int().min(4).max(100_000).default(400),
   }),
+  tracing: z.object({
+    /** Spans of jobs, for programs that registered a provider of OpenTelemetry. */
+    enabled: flag.default(false),
+  }),
 } as const;
 
 export interface Operator {
@@ -41,6 +46,7 @@
   readonly idleLeases: number;
   readonly maxInProgress: number;
   readonly admission: AdmissionSettings;
+  readonly tracing: boolean;
 }
 
 /** Faults stop the program; unknown keys are only reported. */
@@ -72,10 +78,17 @@
   const term = read("term", schema.term);
   const renting = read("renting", schema.renting);
   const api = read("api", schema.api);
+  const tracing = read("tracing", schema.tracing);
   const admission = decodeAdmission(raw.admission);
   faults.push(...admission.faults);
   unknown.push(...admission.unknown);
-  if (term === null || renting === null || api === null || admission.settings === null) {
+  if (
+    term === null ||
+    renting === null ||
+    api === null ||
+    tracing === null ||
+    admission.settings === null
+  ) {
     return { operator: null, faults, unknown };
   }
   return {
@@ -88,6 +101,7 @@
       idleLeases: renting.idle_leases,
       maxInProgress: api.max_in_progress,
       admission: admission.settings,
+      tracing: tracing.enabled,
     },
     faults,
     unknown,
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -15,18 +15,19 @@
 import { canEverRun } from "./core/feasibility.js";
 import { LeaseKeeper } from "./core/lease-keeper.js";
 import { AdaptiveLimit } from "./core/limit.js";
-import type { JobSpec, JobView, MachineType, Report } from "./core/model.js";
+import type { JobSpec, JobView, Report } from "./core/model.js";
 import type { Output } from "./core/outputs.js";
-import { KEY, Records, type Touched } from "./core/records.js";
+import { Records, type Touched } from "./core/records.js";
 import { Scheduler } from "./core/scheduler.js";
 import { type Contact, StandbyResponder } from "./core/standby-responder.js";
-import { OWN, WriteBudget } from "./core/write-budget.js";
-import type { Write } from "./core/writer.js";
 import { Effects } from "./effects.js";
 import { Leadership, type Leading } from "./leadership.js";
+import { MachineTypes } from "./machine-types.js";
 import { Mesh } from "./mesh/mesh.js";
 import { Follower } from "./state/follower.js";
 import { Store } from "./state/store.js";
+import { StateWrites, TXN_BYTES } from "./state-writes.js";
+import { JobTracer } from "./tracing.js";
 import type { Settings } from "./wire/settings.js";
 import { Workers } from "./workers/client.js";
 import { workerSockets } from "./workers/sockets.js";
@@ -37,8 +38,6 @@
 const ACCEPTS = 500;
 /** Other nodes that are enough for the users: one may end and two are left. */
 const OTHERS = 3;
-/** A transaction's limit by the protocol, less room for the message around it. */
-const TXN_BYTES = 60 * 1024;
 /** Times in a report interval at which the leader looks whether admission must be limited. */
 const ADMISSION_LOOKS = 8;
 
@@ -51,13 +50,14 @@
   private readonly intake: Intake;
   private readonly submissions: Submissions;
   /** Null: it is switched off. */
+  private readonly tracer: JobTracer | null;
+  /** Null: it is switched off. */
   private readonly admission: AdmissionControl | null;
   private readonly ends: Ends;
   private readonly mesh: Mesh;
-  private readonly writes: Bucket;
-  private readonly writeBudget: WriteBudget;
+  private readonly writes: StateWrites;
   private readonly app: FastifyInstance;
-  private types: readonly MachineType[] = [];
+  private readonly types: MachineTypes;
   private readonly leadership: Leadership;
   private readonly standby: StandbyResponder;
   private readonly effects: Effects;
@@ -68,9 +68,6 @@
   /** How much later than asked timers come back lately, in seconds; and whether that is much. */
   private behindS = 0;
   private overloaded = false;
-  private writing = false;
-  /** Changes in a transaction at the most: fewer for a while after one was refused for its size. */
-  private opsLimit: number;
   private stopped = false;
   private readonly graceS: number;
   private readonly keepS: number;
@@ -83,7 +80,6 @@
   ) {
     const c = settings.cluster;
     // Between two leaders others may have answered for as long (`between`).
-    this.opsLimit = c.txnOps;
     this.graceS = Math.max(operator.graceRatio * c.leaseS, c.leaseS / 3 + this.contactGapS());
     this.keepS = operator.keepRatio * c.leaseS;
     this.leaseKeeper = new LeaseKeeper(c.leaseS, this.contactGapS(), this.keepS);
@@ -93,6 +89,7 @@
     this.workers = new Workers(answerMs, workerSockets(c.sockets, 0));
     // Reads that catch up and watches each take a quarter of this node's share of requests.
     const spacing = (4 * c.nodes) / c.stateRps;
+    this.tracer = operator.tracing ? new JobTracer(settings.member) : null;
     this.admission = operator.admission.enabled ? this.newAdmission() : null;
     const changed = (t: Touched | null): void => this.changed(t);
     this.follower = new Follower(
@@ -104,8 +101,23 @@
       changed,
       this.admission,
     );
-    this.writeBudget = new WriteBudget(c.stateWriteRps);
-    this.writes = new Bucket(this.writeShare(false), this.writeBurst(false));
+    this.types = new MachineTypes(
+      c,
+      this.cloud,
+      this.store,
+      this.follower,
+      this.records,
+      (types) => {
+        this.leadership.current?.scheduler.setTypes(types);
+        this.queueTick();
+      },
+    );
+    this.writes = new StateWrites(c, this.store, this.follower, this.records, {
+      now: steady,
+      log,
+      perform: (outputs) => this.perform(outputs),
+      again: () => this.queueTick(),
+    });
     const sentOnRate = (1.5 * ACCEPTS * c.cpuShare) / Math.max(1, c.nodes - 1);
     this.standby = new StandbyResponder(
       c,
@@ -118,7 +130,7 @@
     );
     this.intake = new Intake(
       this.store,
-      this.writes,
+      this.writes.bucket,
       steady,
       c.txnOps,
       TXN_BYTES,
@@ -135,7 +147,7 @@
       log,
       scheduler: (epoch, mark, now) => this.newScheduler(epoch, mark, now),
       perform: (outputs) => this.perform(outputs),
-      changed: (leads) => this.writes.setRate(this.writeShare(leads), this.writeBurst(leads)),
+      changed: (leads) => this.writes.leads(leads),
     });
     this.effects = new Effects(this.workers, this.cloud, {
       now: steady,
@@ -196,7 +208,7 @@
       wallMs: Date.now,
       txn: (conditions, changes) => this.store.txn(conditions, changes),
       catchUp: () => this.follower.catchUp(),
-      wrote: (changes) => this.writes.force(changes, steady()),
+      wrote: (changes) => this.writes.bucket.force(changes, steady()),
       decided: (decision) => this.logDecision(decision),
       windowWritten: ({ version, mode, periods }) =>
         this.log.info({ version, mode, periods }, "admission window"),
@@ -209,23 +221,6 @@
     this.log[quiet ? "debug" : "info"](decision, "admission decision");
   }
 
-  /**
-   * The leader writes most, see `WriteBudget`. The others may use five sixths together, and a third each at
-   * a time, as submissions come in bursts; if the service refuses some, they are sent again a moment later.
-   */
-  private writeShare(leader: boolean): number {
-    const { stateWriteRps, nodes } = this.settings.cluster;
-    const others = Math.max(1, Math.min(5, nodes - 1));
-    return leader ? this.writeBudget.rate(steady()) : ((5 / 6) * stateWriteRps) / others;
-  }
-  /**
-   * One second's worth of what is a node's own at the least, which the state service allows. (The leader
-   * was once left with the burst of another node: too small for any write but the smallest.)
-   */
-  private writeBurst(leader: boolean): number {
-    return Math.max(4, this.settings.cluster.stateWriteRps * (leader ? OWN : 1 / 3));
-  }
-
   /** For programs that embed a controller. */
   get server(): FastifyInstance["server"] {
     return this.app.server;
@@ -243,12 +238,13 @@
     this.log.info({ member: this.settings.member, on: this.settings.serveOn }, "listening");
     void this.follower.run();
     await this.mesh.start();
-    void this.catalogLoop();
+    void this.types.run();
     void this.tickLoop();
   }
 
   async stop(): Promise<void> {
     this.stopped = true;
+    this.types.stop();
     this.leadership.stop();
     this.follower.stop();
     this.mesh.stop();
@@ -296,15 +292,20 @@
   judge(spec: JobSpec): "fits" | "never" | "unknown" {
     const c = this.settings.cluster;
     if (!c.teams.some((t) => t.name === spec.team)) return "never";
-    if (this.types.length === 0) return "unknown";
-    return canEverRun(spec, c, this.types) ? "fits" : "never";
+    if (this.types.known.length === 0) return "unknown";
+    return canEverRun(spec, c, this.types.known) ? "fits" : "never";
   }
 
   async submit(spec: JobSpec) {
     if (!this.stateOk()) return "unavailable" as const;
     // Types that do not exist change nothing, and could make the stored value too large.
-    const types = spec.types?.filter((t) => this.types.some((x) => x.name === t)) ?? null;
-    return this.submissions.submit({ ...spec, types });
+    const types = spec.types?.filter((t) => this.types.known.some((x) => x.name === t)) ?? null;
+    const submit = () => this.submissions.submit({ ...spec, types });
+    if (this.tracer === null) return submit();
+    return this.tracer.submission(spec, submit, (outcome) => ({
+      "job.outcome": typeof outcome === "object" ? "rejected" : outcome,
+      "admission.window": this.admission?.replica.version ?? 0,
+    }));
   }
 
   async cancel(id: string) {
@@ -406,8 +407,8 @@
     }
     if (touched === null) this.standby.leadSeen(now);
     this.ends.changed(touched === null ? null : touched.jobs);
-    if (touched !== null) this.writeBudget.seen(touched.asked);
-    if (this.types.length === 0 && this.records.types !== null) this.types = this.records.types;
+    if (touched !== null) this.writes.seen(touched.asked);
+    this.types.takeStored();
     this.queueTick();
   }
 
@@ -422,7 +423,7 @@
       othersIn: this.othersIn(),
     };
     const scheduler = new Scheduler(c, options, epoch, epochMark, now);
-    scheduler.setTypes(this.types);
+    scheduler.setTypes(this.types.known);
     return scheduler;
   }
 
@@ -481,14 +482,14 @@
     const leading = this.leadership.current;
     if (this.follower.loaded) this.admission?.tick();
     if (leading === null) {
-      if (this.follower.loaded && this.types.length > 0) this.leadership.seek();
+      if (this.follower.loaded && this.types.known.length > 0) this.leadership.seek();
       return;
     }
     const { term, scheduler } = leading;
     if (!term.acting(now)) return;
     this.perform(scheduler.tick(now, Date.now()));
     this.leadAdmission(leading, now);
-    this.write();
+    this.writes.send(this.leadership);
   }
 
   /** Windows follow the load as the leader sees it; looked at a few times in a report interval. */
@@ -504,112 +505,6 @@
   }
   private admissionAfter = Number.NEGATIVE_INFINITY;
 
-  private write(): void {
-    const leading = this.leadership.current;
-    if (leading === null || this.writing) return;
-    const { term, scheduler } = leading;
-    const now = steady();
-    if (!term.acting(now)) return;
-    if (this.leadership.raiseWanted) {
-      this.writing = true;
-      void this.leadership.raise(leading).finally(() => {
-        this.writing = false;
-        this.queueTick();
-      });
-      return;
-    }
-    this.writes.setRate(this.writeShare(true), this.writeBurst(true));
-    const room = Math.floor(this.writes.available(now));
-    if (room < Math.max(3, scheduler.roomNeeded) || !scheduler.hasUrgentWrite) return;
-    // Progress waits until there is plenty: placements and ends must not wait behind it.
-    const w = scheduler.nextWrite(
-      Math.min(room, this.opsLimit),
-      TXN_BYTES,
-      room < this.writeBurst(true) / 2,
-      now,
-    );
-    if (w === null) {
-      // What goes into one transaction may need more changes than were tried since one was refused.
-      this.opsLimit = Math.min(this.settings.cluster.txnOps, this.opsLimit + 1);
-      return;
-    }
-    this.writes.force(w.changes.length, now);
-    this.writing = true;
-    this.log.debug({ ...w.counts, room }, "write");
-    void this.commit(leading, w).finally(() => {
-      this.writing = false;
-      this.queueTick();
-    });
-  }
-
-  private async commit(leading: Leading, w: Write): Promise<void> {
-    const { term, scheduler } = leading;
-    const r = await this.store.txn(w.conditions, w.changes);
-    const finish = (outcome: Parameters<Scheduler["written"]>[1], revision: number): void => {
-      if (this.leadership.current !== leading) return;
-      this.perform(scheduler.written(w, outcome, revision, this.records, steady()));
-    };
-    if (r.kind === "ok") {
-      this.opsLimit = Math.min(this.settings.cluster.txnOps, this.opsLimit + 1);
-      return finish("ok", r.revision);
-    }
-    if (r.kind === "refused") {
-      this.log.debug({ status: r.status }, "write refused");
-      if (r.status === 400) {
-        // Too large, or its lease is over. Smaller ones may pass; one that can't be smaller waits.
-        this.log.warn({ changes: w.changes.length }, "write refused for what it holds");
-        if (w.changes.length > 1) this.opsLimit = Math.max(1, w.changes.length >> 1);
-        else scheduler.refusedAlone(w, steady());
-      }
-      this.writeBudget.refused(steady());
-      finish("refused", 0);
-      await sleep(this.settings.cluster.reportS / 30);
-      return;
-    }
-    this.log.info({ outcome: r }, "write not certain");
-    // Whatever happened to it, only a fresh read tells what is stored now.
-    for (;;) {
-      if (await this.follower.catchUp()) break;
-      if (this.leadership.current !== leading) return;
-      await sleep(this.settings.cluster.reportS / 10);
-    }
-    if (this.records.epoch.mark !== term.epochMark) {
-      if (this.leadership.current === leading) this.leadership.lose("a write found another epoch");
-      return;
-    }
-    finish(r.kind === "failed" ? "conflict" : "unknown", 0);
-  }
-
-  private async catalogLoop(): Promise<void> {
-    const { leaseS, cloudRps } = this.settings.cluster;
-    while (!this.stopped) {
-      const types = await this.cloud.catalog();
-      if (types === null || types.length === 0) {
-        await sleep(this.types.length === 0 ? 4 / cloudRps : leaseS);
-        continue;
-      }
-      this.types = types;
-      this.leadership.current?.scheduler.setTypes(types);
-      await this.storeTypes(types);
-      this.queueTick();
-      // It must not keep a program alive that embeds a controller and has stopped it.
-      await new Promise((r) => setTimeout(r, 10_000 * leaseS).unref());
-    }
-  }
-
-  /** Kept so that a start while the cloud is down knows the machine types. */
-  private async storeTypes(types: readonly MachineType[]): Promise<void> {
-    const fixed = (t: readonly MachineType[]): string =>
-      JSON.stringify(t.map((x) => ({ ...x, spotPrice: 0, price: 0 })));
-    while (!this.follower.loaded && !this.stopped) await sleep(0.2);
-    const stored = this.records.types;
-    if (stored !== null && fixed(stored) === fixed(types)) return;
-    if (JSON.stringify(types).length > this.settings.cluster.valueKb * 1024) return;
-    // Conditional, so that a copy carried out late does not put older ones in their place.
-    const mark = this.records.typesMark;
-    await this.store.txn([{ key: KEY.types, mark }], [{ op: "put", key: KEY.types, value: types }]);
-  }
-
   // ---------------------------------------------------------------- outputs
 
   private perform(outputs: readonly Output[]): void {
@@ -621,6 +516,10 @@
       this.log.info(o.fields, o.message);
       return;
     }
+    if (o.kind === "first start") {
+      this.tracer?.firstStart(o.job, o.submittedAt);
+      return;
+    }
     const leading = this.leadership.current;
     if (leading === null) return;
     if (o.kind === "raise token") this.leadership.raiseWanted = true;
--- a/src/core/job-lifecycle.ts
+++ b/src/core/job-lifecycle.ts
@@ -5,6 +5,7 @@
 
 import type { Dispatch } from "./dispatch.js";
 import type { Fleet } from "./fleet.js";
+import { worstBytes } from "./job-values.js";
 import type { LeaderContext } from "./leader-context.js";
 import { LiveJob } from "./live-job.js";
 import { Machine } from "./machine.js";
@@ -43,7 +44,7 @@
         this.adopt(job, part.value.pl, n * (job.partSize ?? 0), now);
       }
       const bound = 0.95 * bytes;
-      if (job.partSize === null && job.started && job.worstBytes() > bound) {
+      if (job.partSize === null && job.started && worstBytes(job) > bound) {
         job.cut(cutSize(job.spec, bytes, this.context.settings.txnOps));
       }
       for (const other of job.spec.after ?? []) this.applyEnd(records, job, other);
@@ -82,6 +83,8 @@
       for (const task of Ranges.parse(tasks)) {
         const p = new Placement(job, first + task, attempt, m, session, 0, now);
         p.state = "loaded";
+        // Whether any ran under the former leader is not stored: its first start is not told twice.
+        job.begun = true;
         this.context.cluster.add(p);
         if (session > m.session) m.session = session;
       }
--- a/src/core/live-job.ts
+++ b/src/core/live-job.ts
@@ -5,19 +5,18 @@
 import type { Expression } from "../algebra/expression.js";
 import { FailureHistory } from "./failure-history.js";
 import { type JobSpec, rankOf } from "./model.js";
-import { fixedBytes, Part } from "./parts.js";
+import { Part } from "./parts.js";
 import { acceptable, eventName, residuals, written } from "./pipeline.js";
 import type { Placement } from "./placement.js";
 import { ZoneOccupancy } from "./placement-rules.js";
 import { Ranges } from "./ranges.js";
 import type { Marked, StoredJob, StoredPart } from "./records.js";
-import { storedPlacements } from "./stored-placements.js";
 
 export class LiveJob {
   readonly spec: JobSpec;
   readonly submittedAt: number;
   /** Residuals as stored; parsed only when an event residuates them, so that a takeover is quick. */
-  private residualsText: readonly string[];
+  residualsText: readonly string[];
   private parsed: Expression[] | null = null;
   /** Its start is not accepted yet, for jobs that must be done before it; null: not looked at since. */
   private waitsKnown: boolean | null = null;
@@ -37,8 +36,8 @@
   /** Parts that must be stored together with its own value, which held their tasks before. */
   recut: Set<Part> | null = null;
   private cutAt = 0;
-  /** Parts that are over. */
-  private readonly closed = new Set<number>();
+  /** Numbers of the parts that are over. */
+  readonly closed = new Set<number>();
   owner: number;
   readonly done: Ranges;
   readonly placements = new Map<number, Placement>();
@@ -48,6 +47,8 @@
   readonly unrecorded = new Set<Placement>();
   /** Zones of all its placements, the unrecorded ones too. */
   readonly zones: ZoneOccupancy;
+  /** A task of it ran, as far as this leader knows. */
+  begun = false;
   cancelled = false;
   /** By its user; otherwise through one that it needs, and no key of its own says so. */
   calledOff = false;
@@ -278,34 +279,6 @@
     yield* this.unrecorded;
   }
 
-  /** The most bytes that a number of this job and what separates it take in a value. */
-  get taskBytes(): number {
-    return String(this.spec.tasks).length + 1;
-  }
-
-  /**
-   * The most bytes that the stored value may come to as tasks end in any order: then each task in
-   * flight may stand by itself, among those placed and between those done.
-   */
-  worstBytes(): number {
-    this.fixedBytes ??= fixedBytes(this.spec) + JSON.stringify(this.residualsText).length;
-    const machines = new Set<string>();
-    const starts = new Set<string>();
-    for (const p of this.placements.values()) {
-      machines.add(`${p.machine.name} ${p.attempt}`);
-      starts.add(`${p.attempt} ${p.session}`);
-    }
-    let names = 0;
-    for (const m of machines) names += m.length + 6;
-    return (
-      this.fixedBytes +
-      names +
-      24 * starts.size +
-      2 * this.taskBytes * (this.placements.size + this.done.spanCount)
-    );
-  }
-  private fixedBytes: number | null = null;
-
   /**
    * It stands in one value, stored when a value might be larger, and may not fit one now: it is cut into
    * parts, which are stored together with its own value, so that at any moment either holds the tasks.
@@ -333,52 +306,6 @@
     this.touch();
     this.cutAt = this.version;
   }
-
-  toStored(): StoredJob {
-    const own = this.partSize === null;
-    const value: StoredJob = {
-      j: this.spec,
-      at: this.submittedAt,
-      r: this.residualsText,
-      v: this.version,
-      n: this.main.attempt,
-      o: this.owner,
-      done: own ? this.done.toString() : this.closedTasks(),
-      pl: own ? storedPlacements(this.placements.values(), 0) : [],
-    };
-    return this.partSize === null ? value : { ...value, c: this.partSize };
-  }
-
-  private closedTasks(): string {
-    const size = this.partSize!;
-    const out: string[] = [];
-    let from = -1;
-    const last = Math.ceil(this.spec.tasks / size);
-    for (const n of range(last + 1)) {
-      const over = n < last && this.closed.has(n);
-      if (over && from < 0) from = n;
-      if (over || from < 0) continue;
-      out.push(`${from * size}-${Math.min(this.spec.tasks, n * size) - 1}`);
-      from = -1;
-    }
-    return out.join(",");
-  }
-
-  toStoredPart(part: Part): StoredPart {
-    const done: number[] = [];
-    const placed: Placement[] = [];
-    for (let t = part.from; t < part.to; t++) {
-      if (this.done.has(t)) done.push(t - part.from);
-      const p = this.placements.get(t);
-      if (p !== undefined) placed.push(p);
-    }
-    return {
-      v: this.version,
-      n: part.attempt,
-      done: Ranges.of(done).toString(),
-      pl: storedPlacements(placed, part.from),
-    };
-  }
 }
 
 function* range(n: number): Generator<number> {
--- a/src/core/outputs.ts
+++ b/src/core/outputs.ts
@@ -21,6 +21,8 @@
     }
   | { readonly kind: "return"; readonly machines: readonly string[] }
   | { readonly kind: "list" }
+  /** A job's first task runs, as far as this leader knows. */
+  | { readonly kind: "first start"; readonly job: string; readonly submittedAt: number }
   | { readonly kind: "raise token" }
   | { readonly kind: "resign"; readonly why: string }
   | {
--- a/src/core/oversized-values.ts
+++ b/src/core/oversized-values.ts
@@ -1,6 +1,7 @@
 /** What becomes of a value that the state service refuses although it keeps the limits that are known. */
 
 import type { Fleet } from "./fleet.js";
+import { worstBytes } from "./job-values.js";
 import type { LeaderContext } from "./leader-context.js";
 import type { LiveJob } from "./live-job.js";
 import { cutSize, standsInParts } from "./parts.js";
@@ -43,7 +44,7 @@
     const bytes = this.context.valueLimit.plannedBytes;
     if (job.partSize !== null || job.spec.tasks < 2) return;
     const fits = job.spec.kind === "array" || !standsInParts(job.spec, bytes);
-    if (fits && job.worstBytes() <= FILLED * bytes) return;
+    if (fits && worstBytes(job) <= FILLED * bytes) return;
     job.cut(cutSize(job.spec, bytes, this.context.settings.txnOps));
   }
 }
--- a/src/core/planning/array-placement.ts
+++ b/src/core/planning/array-placement.ts
@@ -1,4 +1,5 @@
 /** Placement of arrays and services: as many tasks as there is room for, within what one write can hold. */
+import { taskBytes, worstBytes } from "../job-values.js";
 import type { LiveJob } from "../live-job.js";
 import { placeableInPart } from "../parts.js";
 import { place, take } from "./assignment.js";
@@ -63,14 +64,14 @@
 
 /** A pipeline in one value of bounded length: no more is placed than it can hold at the worst. */
 function fittingValue(job: LiveJob, on: readonly Candidate[], quota: number, ctx: PlanContext) {
-  let room = 0.95 * ctx.valueBytes - job.worstBytes();
+  let room = 0.95 * ctx.valueBytes - worstBytes(job);
   let tasks = 0;
   let machines = 0;
   for (const c of on) {
     room -= c.machine.name.length + 12;
-    const fit = Math.min(c.fits, Math.floor(room / (2 * job.taskBytes)));
+    const fit = Math.min(c.fits, Math.floor(room / (2 * taskBytes(job))));
     if (fit < 1) break;
-    room -= fit * 2 * job.taskBytes;
+    room -= fit * 2 * taskBytes(job);
     tasks += fit;
     machines++;
     if (tasks >= quota) break;
--- a/src/core/reconciliation.ts
+++ b/src/core/reconciliation.ts
@@ -138,6 +138,7 @@
     if (t.state === "running" && p.state !== "saving") {
       p.runningSince = now;
       p.timed = p.state !== "loaded";
+      this.noteFirstStart(p);
       this.context.log("running", {
         task: `${p.job.spec.id}/${p.task}`,
         machine: p.machine.name,
@@ -149,6 +150,13 @@
     p.state = t.state;
   }
 
+  private noteFirstStart({ job }: Placement): void {
+    if (job.begun) return;
+    job.begun = true;
+    const { id } = job.spec;
+    this.context.out.push({ kind: "first start", job: id, submittedAt: job.submittedAt });
+  }
+
   /** Machines keep the most recently used images; what no longer fits is thought gone. */
   private trimImages(m: Machine): void {
     const used = new Set([...m.placements.values()].map((p) => p.job.spec.image));
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -1,7 +1,9 @@
 /** What goes into the next transaction of the leader, and in which order. */
+
 import type { Change, Condition } from "../wire/state.js";
 import type { Cluster } from "./cluster.js";
 import type { Group, Groups } from "./groups.js";
+import { jobValue, partValue } from "./job-values.js";
 import type { LiveJob } from "./live-job.js";
 import type { Part } from "./parts.js";
 import { isGuaranteed } from "./planning/precedence.js";
@@ -160,7 +162,7 @@
   }
   if (job.main.unsaved) {
     if (left < 1) return "no room";
-    const value = job.toStored();
+    const value = jobValue(job);
     if (!allows(sizeOf(value))) return "nothing";
     left--;
     piece.changes.unshift({ op: "put", key: KEY.live(id), value });
@@ -169,7 +171,7 @@
   if (together !== null) open.sort((a, b) => Number(together.has(b)) - Number(together.has(a)));
   for (const p of open) {
     if (left < 1) break;
-    const value = job.toStoredPart(p);
+    const value = partValue(job, p);
     if (!allows(sizeOf(value))) {
       // What was cut goes whole or not at all.
       if (together?.has(p)) return "nothing";
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -22,7 +22,7 @@
     private readonly options: EffectsOptions,
   ) {}
 
-  /** All but log lines and what concerns the term itself. */
+  /** All but log lines, traces and what concerns the term itself. */
   perform(o: Output, leading: Leading): void {
     const { term, scheduler } = leading;
     const { now, reportS } = this.options;
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,8 +3,10 @@
 import { readFileSync } from "node:fs";
 import { Command, InvalidArgumentError } from "commander";
 import { pino } from "pino";
+import { AdmissionReplica, admissionStatus, formatStatus } from "./admission/index.js";
 import { decodeOperator, type Operator } from "./config/operator.js";
 import { Controller } from "./controller.js";
+import { Store } from "./state/store.js";
 import { decodeSettings, type Settings } from "./wire/settings.js";
 
 const VERSION = "0.1.0";
@@ -67,4 +69,23 @@
     process.stdout.write(`${JSON.stringify({ settings, operator }, null, 2)}\n`);
   });
 
+/** Longest wait for an answer of the state service. */
+const STATE_TIMEOUT_MS = 5000;
+
+program
+  .command("admission")
+  .description("print the admission window that is in force, and what was used and refused of it")
+  .option("--json", "as JSON")
+  .action(async (own: { json?: boolean }, command: Command) => {
+    const { settings } = load(command.optsWithGlobals<Flags>());
+    const store = new Store(settings.state, () => performance.now() / 1000, STATE_TIMEOUT_MS);
+    const all = await store.readAll();
+    store.close();
+    if (all === null) fail([`${settings.state}: the state service gives no answer`]);
+    const replica = new AdmissionReplica();
+    replica.reset(all.items, all.revision);
+    const status = admissionStatus(replica);
+    process.stdout.write(own.json ? `${JSON.stringify(status, null, 2)}\n` : formatStatus(status));
+  });
+
 await program.parseAsync();
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -63,6 +63,12 @@
     }
   }
 
+  /** Closes its connections; nothing is asked of it any more. */
+  close(): void {
+    this.peer.close();
+    this.watcher.close();
+  }
+
   async txn(conditions: readonly Condition[], changes: readonly Change[]): Promise<TxnResult> {
     const r = await this.call("POST", PATH.txn, encodeTxn(conditions, changes));
     if (r.status === 0) {
--- /dev/null
+++ b/src/tracing.ts
@@ -0,0 +1,74 @@
+/**
+ * Traces of jobs, by the OpenTelemetry API: from the submission over the decision to the first start. Off by default; a
+ * program that embeds controllers registers the provider that the spans go to, and without one they go nowhere.
+ *
+ * A job's trace follows from its id, so the spans of all controllers join one trace with nothing stored or sent for it.
+ */
+import { createHash } from "node:crypto";
+import {
+  type Attributes,
+  type Context,
+  ROOT_CONTEXT,
+  type Span,
+  SpanKind,
+  SpanStatusCode,
+  TraceFlags,
+  type Tracer,
+  trace,
+} from "@opentelemetry/api";
+import type { JobSpec } from "./core/model.js";
+
+const TRACE_ID_DIGITS = 32;
+const SPAN_ID_DIGITS = 16;
+const NAME = "peatsaddle";
+
+/** The context that all spans of a job have as their parent. */
+function contextOf(jobId: string): Context {
+  const digits = createHash("sha256").update(jobId).digest("hex");
+  return trace.setSpanContext(ROOT_CONTEXT, {
+    traceId: digits.slice(0, TRACE_ID_DIGITS),
+    spanId: digits.slice(TRACE_ID_DIGITS, TRACE_ID_DIGITS + SPAN_ID_DIGITS),
+    traceFlags: TraceFlags.SAMPLED,
+    isRemote: true,
+  });
+}
+
+export class JobTracer {
+  private readonly tracer: Tracer;
+
+  constructor(private readonly member: string) {
+    this.tracer = trace.getTracer(NAME);
+  }
+
+  /** Traces a submission until it is answered. `describe` turns its outcome into the span's attributes. */
+  async submission<T>(
+    job: JobSpec,
+    work: () => Promise<T>,
+    describe: (outcome: T) => Attributes,
+  ): Promise<T> {
+    const span = this.start("job.submission", job.id, SpanKind.SERVER);
+    span.setAttributes({ "job.team": job.team, "job.class": job.class, "job.tasks": job.tasks });
+    try {
+      const outcome = await work();
+      span.setAttributes(describe(outcome));
+      return outcome;
+    } catch (error) {
+      span.setStatus({ code: SpanStatusCode.ERROR });
+      throw error;
+    } finally {
+      span.end();
+    }
+  }
+
+  /** Traces the wait of a job from its submission to the moment when its first task runs. */
+  firstStart(jobId: string, submittedAtMs: number): void {
+    this.start("job.wait", jobId, SpanKind.INTERNAL, submittedAtMs).end();
+  }
+
+  private start(name: string, jobId: string, kind: SpanKind, startTime?: number): Span {
+    const attributes = { "job.id": jobId, "peatsaddle.member": this.member };
+    const options =
+      startTime === undefined ? { kind, attributes } : { kind, attributes, startTime };
+    return this.tracer.startSpan(name, options, contextOf(jobId));
+  }
+}
--- /dev/null
+++ b/tests/admission-settings.test.ts
@@ -0,0 +1,144 @@
+/** Settings of admission control: hostile values, the calendar over changes of clocks, and the program's own check. */
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { activePeriods, type Calendar } from "../src/admission/index.js";
+import { DEFAULT_OPERATOR, decodeOperator } from "../src/config/operator.js";
+import { settingsText } from "./helpers.js";
+import { PROGRAM } from "./process-site.js";
+
+const SETTLEMENT = `
+[admission]
+enabled = true
+window_ratio = 2
+queue_ratio = 3
+time_zone = Europe/Lisbon
+[admission.calendar.settlement]
+days = mon, tue,wed,thu,fri
+from = 22:00
+to = 06:00
+team = tesouraria
+class = settle-night
+weight = 4
+`;
+
+test("it is off by default, and its settings are read as they stand", () => {
+  assert.equal(DEFAULT_OPERATOR.admission.enabled, false);
+  const { operator, faults, unknown } = decodeOperator(SETTLEMENT);
+  assert.deepEqual([faults, unknown], [[], []]);
+  assert.deepEqual(operator?.admission, {
+    enabled: true,
+    windowRatio: 2,
+    queueRatio: 3,
+    calendar: {
+      timeZone: "Europe/Lisbon",
+      periods: [
+        {
+          name: "settlement",
+          days: [1, 2, 3, 4, 5],
+          from: 22 * 60,
+          to: 6 * 60,
+          team: "tesouraria",
+          class: "settle-night",
+          weight: 4,
+        },
+      ],
+    },
+  });
+});
+
+test("hostile values are faults, a line each, that name their field", () => {
+  const faultsOf = (body: string): readonly string[] =>
+    decodeOperator(`[admission]\n${body}`).faults;
+  const cases: [string, RegExp][] = [
+    ["enabled = perhaps", /^admission\.enabled/],
+    ["window_ratio = 0", /^admission\.window_ratio/],
+    ["window_ratio = -1", /^admission\.window_ratio/],
+    ["window_ratio =", /^admission\.window_ratio/],
+    ["window_ratio = NaN", /^admission\.window_ratio/],
+    ["queue_ratio = 1e308", /^admission\.queue_ratio/],
+    ["queue_ratio = Infinity", /^admission\.queue_ratio/],
+    ["time_zone = Atlantis/Centre", /^admission\.time_zone/],
+    ["calendar = 3", /^admission\.calendar/],
+    ["[admission.calendar.x]\nfrom = 25:00\nto = 06:00\nteam = a\nweight = 1", /calendar\.x\.from/],
+    ["[admission.calendar.x]\nfrom = 24:30\nto = 06:00\nteam = a\nweight = 1", /calendar\.x\.from/],
+    ["[admission.calendar.x]\nfrom = 01:00\nto = 06:00\nteam =\nweight = 1", /calendar\.x\.team/],
+    [
+      "[admission.calendar.x]\nfrom = 01:00\nto = 06:00\nteam = a\nweight = 0",
+      /calendar\.x\.weight/,
+    ],
+    ["[admission.calendar.x]\nfrom = 01:00\nto = 06:00\nteam = a", /calendar\.x\.weight/],
+    [
+      "[admission.calendar.x]\ndays = mon,\nfrom = 01:00\nto = 06:00\nteam = a\nweight = 1",
+      /x\.days/,
+    ],
+  ];
+  for (const [body, expected] of cases) {
+    const faults = faultsOf(body);
+    assert.equal(faults.length, 1, `${body}: ${faults.join("; ")}`);
+    assert.match(faults[0]!, expected);
+  }
+  assert.match(decodeOperator("admission = 1").faults[0]!, /^admission: not a section/);
+  assert.deepEqual(decodeOperator("[admission]\nburst = 1").unknown, ["admission.burst"]);
+});
+
+test("a faulty file ends the program with code 2 and a line a fault; check shows what is in force", () => {
+  const folder = mkdtempSync(join(tmpdir(), "peatsaddle-"));
+  const file = (name: string, text: string): string => {
+    writeFileSync(join(folder, name), text);
+    return join(folder, name);
+  };
+  const config = file("settings.json", settingsText());
+  const run = (...args: string[]) =>
+    spawnSync(process.execPath, [PROGRAM, ...args], { encoding: "utf8" });
+  const bad = file("bad.ini", "[admission]\nwindow_ratio = 0\ntime_zone = nowhere\n");
+  const ended = run("--config", config, "--operator", bad);
+  assert.equal(ended.status, 2);
+  assert.deepEqual(
+    ended.stderr
+      .trim()
+      .split("\n")
+      .map((line) => line.split(":")[0]),
+    ["admission.window_ratio", "admission.time_zone"],
+  );
+  const good = file("good.ini", SETTLEMENT);
+  const checked = run("check", "--config", config, "--operator", good);
+  assert.equal(checked.status, 0, checked.stderr);
+  assert.equal(JSON.parse(checked.stdout).operator.admission.queueRatio, 3);
+});
+
+const night: Calendar = {
+  timeZone: "Europe/Lisbon",
+  periods: [
+    { name: "night", days: [6, 7], from: 22 * 60, to: 6 * 60, team: "t", class: null, weight: 2 },
+    { name: "skipped", days: [7], from: 90, to: 120, team: "t", class: null, weight: 2 },
+    { name: "day", days: [3], from: 0, to: 24 * 60, team: "t", class: null, weight: 2 },
+  ],
+};
+const at = (utc: string): string[] => activePeriods(night, Date.parse(utc)).map((p) => p.name);
+
+test("periods follow the zone's clocks, on past midnight and through their changes", () => {
+  // Winter: Lisbon is at UTC. A Saturday's period goes on into Sunday morning, a Friday's is none.
+  assert.deepEqual(at("2026-01-10T21:59:59Z"), []);
+  assert.deepEqual(at("2026-01-10T22:00:00Z"), ["night"]);
+  assert.deepEqual(at("2026-01-11T05:59:59Z"), ["night"]);
+  assert.deepEqual(at("2026-01-11T06:00:00Z"), []);
+  assert.deepEqual(at("2026-01-10T05:00:00Z"), []);
+  // Summer: an hour earlier by UTC.
+  assert.deepEqual(at("2026-07-11T21:00:00Z"), ["night"]);
+  // 29 March: 01:00 is followed by 02:00, so that the night is an hour shorter.
+  assert.deepEqual(at("2026-03-29T04:59:59Z"), ["night"]);
+  assert.deepEqual(at("2026-03-29T05:00:00Z"), []);
+  // 25 October: 01:00 to 02:00 comes twice, so that it is an hour longer.
+  assert.deepEqual(at("2026-10-24T20:59:59Z"), []);
+  assert.deepEqual(at("2026-10-24T21:00:00Z"), ["night"]);
+  assert.deepEqual(at("2026-10-25T05:59:59Z"), ["night"]);
+  assert.deepEqual(at("2026-10-25T06:00:00Z"), []);
+  // A whole day, to its last moment.
+  assert.deepEqual(at("2026-01-14T00:00:00Z"), ["day"]);
+  assert.deepEqual(at("2026-01-14T23:59:59Z"), ["day"]);
+  assert.deepEqual(at("2026-01-15T00:00:00Z"), []);
+});
--- a/tests/at-size.test.ts
+++ b/tests/at-size.test.ts
@@ -1,6 +1,8 @@
 /** What must hold when there are many hundred machines and jobs: counts of work, never times. */
+
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { worstBytes } from "../src/core/job-values.js";
 import type { Report, TaskReport } from "../src/core/model.js";
 import type { Output } from "../src/core/outputs.js";
 import { KEY, Records } from "../src/core/records.js";
@@ -188,8 +190,8 @@
   assert.ok(j.placements.size >= 350, `${j.placements.size} in flight`);
   const value = h.records.live.get("j")!.value;
   assert.ok(JSON.stringify(value).length < 8 * 1024);
-  assert.ok(JSON.stringify(value).length <= j.worstBytes());
-  assert.ok(j.worstBytes() < 8 * 1024);
+  assert.ok(JSON.stringify(value).length <= worstBytes(j));
+  assert.ok(worstBytes(j) < 8 * 1024);
 });
 
 test("a late write of an older group of machines fails by its own mark", () => {
--- a/tests/limits.test.ts
+++ b/tests/limits.test.ts
@@ -1,6 +1,8 @@
 /** The state service lowers its limits: what was stored before is cut, and goes on. */
+
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { worstBytes } from "../src/core/job-values.js";
 import { decodeSettings } from "../src/wire/settings.js";
 import { settingsText, spec, TestLeader, task } from "./helpers.js";
 
@@ -203,7 +205,7 @@
         j.partSize,
         j.done.size,
         j.present,
-        j.worstBytes(),
+        worstBytes(j),
       ]),
     );
     assert.ok(h.refusals > 0, "the limits were met");
--- a/tests/mixed-versions.test.ts
+++ b/tests/mixed-versions.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { after, before, type TestContext, test } from "node:test";
-import { eventually, PROGRAM, ProcessSite } from "./process-site.js";
+import { eventually, PROGRAM, ProcessSite, type ProcessSiteOptions } from "./process-site.js";
 import { buildProduction, productionIsAtHand } from "./production-build.js";
 
 const NODES = [0, 1, 2];
@@ -21,6 +21,7 @@
 async function mixed(
   t: TestContext,
   scenario: (site: ProcessSite, old: string) => Promise<void>,
+  options: Partial<ProcessSiteOptions> = {},
 ): Promise<void> {
   if (production === null) {
     t.skip("the history of the repository does not hold the version in production");
@@ -29,6 +30,7 @@
   const site = await ProcessSite.open({
     taskMs: (job) => (job.startsWith("long") ? 1e6 : 1500),
     state: { next: { value_kb: 2, txn_ops: 8, write_rps: 300 } },
+    ...options,
   });
   try {
     for (const i of NODES) site.start(i, production);
@@ -162,6 +164,58 @@
     }),
 );
 
+const ADMISSION_ON = "[admission]\nenabled = true\nqueue_ratio = 1\n";
+
+test(
+  "admission control on some nodes, while others and at times the leader are of the version in production",
+  { timeout: 180_000 },
+  (t) =>
+    mixed(
+      t,
+      async (site, old) => {
+        const flood = { herd: "flood", strides: 4, cpus: 4 };
+        const taken: string[] = [];
+        const submitAt = async (node: number, name: string): Promise<number> => {
+          const answer = await site.submitOnce(node, name, flood);
+          if (answer.status <= 201) taken.push(name);
+          return answer.status;
+        };
+        const [one, other] = followers(site) as [number, number];
+        const leader = site.leader();
+        for (const i of [one, other]) {
+          site.replace(i, PROGRAM);
+          await site.healthy(i);
+        }
+        // The leader writes no windows: nothing is refused by share.
+        for (let n = 0; n < 12; n++) assert.ok((await submitAt(n % 3, `old-${n}`)) <= 201);
+        assert.equal(site.state.keys.has("a/w"), false);
+        // A new process leads, and limits; the old one takes what it is given, which no rule forbids.
+        site.replace(leader, old);
+        await site.otherLeader(leader);
+        await site.healthy(leader);
+        let n = 0;
+        await eventually("a new process refuses", async () => {
+          return (await submitAt(site.leader(), `new-${n++}`)) === 429;
+        });
+        await eventually("the old one takes it", async () => {
+          return (await submitAt(leader, `beside-${n++}`)) <= 201;
+        });
+        // An old one leads again: the window that is left binds nobody.
+        site.replace(one, old);
+        site.replace(other, old);
+        await eventually("an old process leads", () => site.leader() === leader);
+        site.replace(one, PROGRAM);
+        await site.healthy(one);
+        await eventually(
+          "all is admitted",
+          async () => (await submitAt(one, `late-${n++}`)) <= 201,
+        );
+        for (const id of taken) await site.becomes(id, "done");
+      },
+      { operator: ADMISSION_ON },
+    ),
+);
+
 after(() => {
   production = null;
 });
--- a/tests/partitions.test.ts
+++ b/tests/partitions.test.ts
@@ -1,6 +1,6 @@
 /** A controller that loses the state service and the other controllers, but not its workers. */
 import assert from "node:assert/strict";
-import { connect, createServer } from "node:net";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { pino } from "pino";
 import { DEFAULT_OPERATOR } from "../src/config/operator.js";
@@ -13,16 +13,14 @@
 import { encodeReport } from "../src/wire/schema.js";
 import { decodeSettings } from "../src/wire/settings.js";
 import { settingsText, spec, task } from "./helpers.js";
+import { freePorts } from "./site.js";
 import { CloudStandIn, StateStandIn } from "./stand-ins.js";
 
 const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
 
 async function freePort(): Promise<number> {
-  const s = createServer();
-  await new Promise<void>((r) => s.listen(0, "127.0.0.1", r));
-  const { port } = s.address() as { port: number };
-  await new Promise((r) => s.close(r));
-  return port;
+  const [port] = await freePorts(1);
+  return port!;
 }
 
 async function until(what: string, f: () => Promise<boolean>): Promise<void> {
--- a/tests/process-site.ts
+++ b/tests/process-site.ts
@@ -4,7 +4,9 @@
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
+import type { TaskReport } from "../src/core/model.js";
 import { Peer } from "../src/net/client.js";
 import { decode, encode } from "../src/wire/msgpack.js";
 import { decodeJob } from "../src/wire/schema.js";
@@ -29,6 +31,16 @@
   readonly taskMs: (job: string) => number;
   /** Fields of `state` in the settings, beside those of the tests. */
   readonly state?: Record<string, unknown>;
+  /** Teams in the settings, in place of those of the tests. */
+  readonly teams?: readonly Record<string, unknown>[];
+  /** The operators' settings (INI) of this version's processes. */
+  readonly operator?: string;
+  /** Machines; four if not given. */
+  readonly workers?: number;
+  /** Told of each end of a task. */
+  readonly ended?: (task: string, cause: TaskReport["cause"]) => void;
+  /** Told of each line that a process logs; none are logged otherwise. */
+  readonly line?: (node: number, line: Record<string, unknown>) => void;
 }
 
 interface Member {
@@ -60,6 +72,7 @@
   readonly peers: Peer[] = [];
   private readonly members: Member[] = [];
   private readonly files: string[] = [];
+  private operatorFile: string | null = null;
   private readonly processes: (ChildProcess | null)[] = [];
 
   private constructor(private readonly options: ProcessSiteOptions) {}
@@ -86,7 +99,12 @@
       ...base.settings,
       workers: { report_s: 1, lease_s: 6, gang_wait_s: 10, gang_peer_s: 3, cancel_s: 10 },
       state: { rps: 1000, write_rps: 500, value_kb: 8, txn_ops: 32, ...this.options.state },
+      ...(this.options.teams === undefined ? {} : { teams: this.options.teams }),
     };
+    if (this.options.operator !== undefined) {
+      this.operatorFile = join(dir, "operator.ini");
+      writeFileSync(this.operatorFile, this.options.operator);
+    }
     for (const { member, address, mesh } of this.members) {
       const others = this.members.filter((x) => x.member !== member);
       const siblings = others.map((x) => ({ member: x.member, location: "a", addr: x.mesh }));
@@ -99,7 +117,7 @@
   }
 
   private async startWorkers(): Promise<void> {
-    for (let i = 0; i < WORKERS; i++) {
+    for (let i = 0; i < (this.options.workers ?? WORKERS); i++) {
       const worker = new WorkerStandIn(
         `m-${i}`,
         i % 2 === 0 ? "a" : "b",
@@ -107,7 +125,10 @@
         this.options.taskMs,
         REPORT_MS,
         LEASE_MS,
-        (task, machine, on, cause) => this.rules.task(task, machine, on, cause),
+        (task, machine, on, cause) => {
+          this.rules.task(task, machine, on, cause);
+          if (!on) this.options.ended?.(task, cause);
+        },
       );
       const { name, zone } = worker;
       this.rules.machine({ machine: name, type: "small", zone, spot: false });
@@ -117,12 +138,22 @@
   }
 
   start(i: number, program: string = PROGRAM): void {
-    const level = process.env.SITE_LOG ?? "error";
+    const { line } = this.options;
+    const level = process.env.SITE_LOG ?? (line === undefined ? "error" : "info");
     const env = { ...process.env, LOG_LEVEL: level };
-    const output = process.env.SITE_LOG === undefined ? "ignore" : "inherit";
-    this.processes[i] = spawn(process.execPath, [program, "--config", this.files[i]!], {
+    const unread = process.env.SITE_LOG === undefined ? "ignore" : "inherit";
+    const operator = program === PROGRAM && this.operatorFile !== null;
+    const args = operator ? ["--operator", this.operatorFile!] : [];
+    const child = spawn(process.execPath, [program, "--config", this.files[i]!, ...args], {
       env,
-      stdio: ["ignore", "ignore", output],
+      stdio: ["ignore", "ignore", line === undefined ? unread : "pipe"],
+    });
+    this.processes[i] = child;
+    if (line === undefined || child.stderr === null) return;
+    const lines = createInterface({ input: child.stderr });
+    lines.on("line", (text) => {
+      // What a process was writing when it was killed is no whole line.
+      if (text.startsWith("{") && text.endsWith("}")) line(i, JSON.parse(text));
     });
   }
 
@@ -175,10 +206,22 @@
     assert.fail(`n${i} gives no answer to ${method} ${path}`);
   }
 
-  submit(i: number, id: string, change: Record<string, unknown> = {}): Promise<JobAnswer> {
+  private submission(id: string, change: Record<string, unknown>): Record<string, unknown> {
     const body = jobBody({ nameId: id, outfit: "maps", loaners: false, ...change });
     this.rules.submitted(decodeJob(body)!);
-    return this.ask(i, id, "POST", "/api/jobs", body);
+    return body;
+  }
+  submit(i: number, id: string, change: Record<string, unknown> = {}): Promise<JobAnswer> {
+    return this.ask(i, id, "POST", "/api/jobs", this.submission(id, change));
+  }
+  /** One try, whatever the answer; no answer at all counts as 503. */
+  async submitOnce(i: number, id: string, change: Record<string, unknown>): Promise<JobAnswer> {
+    const body = encode(this.submission(id, change));
+    const r = await this.peers[i]!.request("POST", "/api/jobs", body, 2000).catch(() => null);
+    if (r === null) return { status: 503, state: undefined };
+    const { stance } = decode(r.body) as { stance?: string };
+    this.rules.answered(id, r.status, stance);
+    return { status: r.status, state: stance };
   }
   query(i: number, id: string): Promise<JobAnswer> {
     return this.ask(i, id, "GET", `/api/jobs/${id}`);
--- a/tests/site.ts
+++ b/tests/site.ts
@@ -2,8 +2,8 @@
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
 import { test } from "node:test";
-import { pino } from "pino";
-import { DEFAULT_OPERATOR } from "../src/config/operator.js";
+import { type Logger, pino } from "pino";
+import { decodeOperator } from "../src/config/operator.js";
 import { Controller } from "../src/controller.js";
 import { Peer } from "../src/net/client.js";
 import { decode, encode } from "../src/wire/msgpack.js";
@@ -13,17 +13,34 @@
 
 export const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
 
-/** Ports that were free a moment ago, held together so that they differ. */
+/** Below the range from which the system takes ports for outgoing connections. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
+/** Test processes that run at the same time begin in different blocks. */
+const BLOCK = 200;
+let nextPort = FIRST_PORT + ((process.pid * BLOCK) % (LAST_PORT - FIRST_PORT));
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  const free = await new Promise<boolean>((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => resolve(true));
+  });
+  if (free) await new Promise((r) => server.close(r));
+  return free;
+}
+
+/**
+ * Ports for servers that are started later. (Ports that the system had chosen were taken by other tests' outgoing
+ * connections before the server listened.)
+ */
 export async function freePorts(n: number): Promise<number[]> {
-  const held = await Promise.all(
-    Array.from({ length: n }, async () => {
-      const s = createServer();
-      await new Promise<void>((r) => s.listen(0, "127.0.0.1", r));
-      return s;
-    }),
-  );
-  const ports = held.map((s) => (s.address() as { port: number }).port);
-  for (const s of held) s.close();
+  const ports: number[] = [];
+  while (ports.length < n) {
+    const port = nextPort++;
+    if (nextPort >= LAST_PORT) nextPort = FIRST_PORT;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
@@ -45,6 +62,8 @@
   readonly taskS: number;
   /** The cloud does not tell the machine types. */
   readonly typesUnknown: boolean;
+  /** The operators' settings (INI). */
+  readonly operator: string;
 }
 
 const FIGURES: Figures = {
@@ -55,6 +74,7 @@
   cancelS: 4,
   taskS: 1000,
   typesUnknown: false,
+  operator: "",
 };
 
 interface Node {
@@ -81,12 +101,20 @@
   /** Tasks that started while they were on another machine. */
   readonly twice: string[] = [];
   private settings: string[] = [];
+  /** What each node logged of admission, in order. */
+  readonly decisions: Record<string, unknown>[][] = [];
 
   private constructor(readonly figures: Figures) {}
 
   static async open(change: Partial<Figures> = {}): Promise<Site> {
     const site = new Site({ ...FIGURES, ...change });
-    await site.begin();
+    try {
+      await site.begin();
+    } catch (error) {
+      // What has started would keep the test process alive for good.
+      await site.close();
+      throw error;
+    }
     return site;
   }
 
@@ -162,17 +190,29 @@
     }
   }
 
-  async start(i: number): Promise<void> {
+  async start(i: number, operatorText: string = this.figures.operator): Promise<void> {
     const read = decodeSettings(this.settings[i]!);
     if (!("settings" in read)) throw new Error(read.faults.join("; "));
-    const level = process.env.SITE_LOG ?? "silent";
-    const log = pino({ level }).child({ node: i });
-    const node = new Controller(read.settings, DEFAULT_OPERATOR, log);
+    const { operator, faults } = decodeOperator(operatorText);
+    if (operator === null) throw new Error(faults.join("; "));
+    const node = new Controller(read.settings, operator, this.logOf(i));
     this.nodes[i]!.controller = node;
     await node.start();
     await until(`n${i} is healthy`, () => node.healthy());
   }
 
+  private logOf(i: number): Logger {
+    const level = process.env.SITE_LOG;
+    if (level !== undefined) return pino({ level }).child({ node: i });
+    const decisions: Record<string, unknown>[] = [];
+    this.decisions[i] = decisions;
+    const write = (text: string): void => {
+      const { level: _, time: __, msg, ...line } = JSON.parse(text) as Record<string, unknown>;
+      if (msg === "admission decision") decisions.push(line);
+    };
+    return pino({ level: "debug", base: null }, { write });
+  }
+
   /** It ends without a word, as a killed process does: what it sent before may still be under way. */
   async end(i: number): Promise<void> {
     await this.nodes[i]!.controller?.stop();
--- a/tests/stand-ins.ts
+++ b/tests/stand-ins.ts
@@ -91,6 +91,8 @@
   limits = { valueBytes: Number.POSITIVE_INFINITY, txnOps: Number.POSITIVE_INFINITY };
   /** Transactions that were refused for what they hold. */
   tooLarge = 0;
+  /** It refuses everybody; open watches wait. */
+  out = false;
 
   async start(): Promise<void> {
     const s = await serve((m, u, b) => this.handle(m, u, b));
@@ -115,6 +117,11 @@
     }
   }
 
+  /** All changes so far, in their order. */
+  get history(): readonly LogEntry[] {
+    return this.log;
+  }
+
   private change(key: string, data: unknown, removed: boolean, tether: number | null): void {
     if (removed) this.keys.delete(key);
     else this.keys.set(key, { data, mark: this.revision, tether });
@@ -141,6 +148,7 @@
 
   private async handle(method: string, url: URL, body: unknown): Promise<Answer> {
     const path = url.pathname;
+    if (this.out) return { status: 503, body: { error: "trouble" } };
     const q = (k: string): string => url.searchParams.get(k) ?? "";
     if (path === PATH.leases && method === "POST") {
       const id = this.nextLease++;
--- /dev/null
+++ b/tests/tracing.test.ts
@@ -0,0 +1,49 @@
+/** One trace a job, whichever controllers took part, through the provider of the program that embeds them. */
+import assert from "node:assert/strict";
+import { trace } from "@opentelemetry/api";
+import {
+  BasicTracerProvider,
+  InMemorySpanExporter,
+  SimpleSpanProcessor,
+} from "@opentelemetry/sdk-trace-base";
+import { scenario, until } from "./site.js";
+
+const exporter = new InMemorySpanExporter();
+trace.setGlobalTracerProvider(
+  new BasicTracerProvider({ spanProcessors: [new SimpleSpanProcessor(exporter)] }),
+);
+
+const spansOf = (job: string) =>
+  exporter.getFinishedSpans().filter((span) => span.attributes["job.id"] === job);
+
+scenario(
+  "a submission, its repetition and the first start are one trace",
+  { operator: "[tracing]\nenabled = true\n" },
+  async (site) => {
+    const follower = [0, 1, 2].find((i) => i !== site.leader())!;
+    await site.running("run-1");
+    assert.equal((await site.submit(follower, "run-1")).status, 200);
+    await until("the first start is traced", () =>
+      spansOf("run-1").some((s) => s.name === "job.wait"),
+    );
+    const spans = spansOf("run-1");
+    assert.equal(new Set(spans.map((s) => s.spanContext().traceId)).size, 1);
+    assert.equal(
+      spans.filter((s) => s.name === "job.wait").length,
+      1,
+      "four tasks, one first start",
+    );
+    const outcomes = spans
+      .filter((s) => s.name === "job.submission")
+      .map((s) => [s.attributes["peatsaddle.member"], s.attributes["job.outcome"]]);
+    assert.deepEqual(outcomes.at(-1), [`n${follower}`, "known"]);
+    assert.ok(outcomes.some(([, outcome]) => outcome === "ok"));
+    assert.notEqual(spans[0]!.spanContext().traceId, spansOf("run-2")[0]?.spanContext().traceId);
+  },
+);
+
+scenario("switched off, nothing is traced", {}, async (site) => {
+  exporter.reset();
+  await site.running("run-3");
+  assert.deepEqual(exporter.getFinishedSpans(), []);
+});
