--- a/tests/process-site.ts
+++ b/tests/process-site.ts
@@ -180,6 +180,11 @@
     return lead === undefined ? -1 : this.members.findIndex((m) => m.member === lead.member);
   }
 
+  /** The epoch by the state service. */
+  term(): number {
+    return (this.state.keys.get("epoch")?.data as { n: number } | undefined)?.n ?? 0;
+  }
+
   async otherLeader(than: number): Promise<number> {
     await eventually(`another leader than n${than}`, () => ![-1, than].includes(this.leader()));
     return this.leader();
