--- a/src/admission/codec.ts
+++ b/src/admission/codec.ts
@@ -1,5 +1,5 @@
 /** How windows, ledgers and rejections are stored. Values that do not have these forms are ignored. */
-import { z } from "zod";
+import * as z from "zod";
 import type {
   AdmissionWindow,
   Amounts,
--- a/src/admission/settings.ts
+++ b/src/admission/settings.ts
@@ -1,5 +1,5 @@
 /** The operators' settings of admission control: sections `admission` and `admission.calendar.<name>` of the INI file. */
-import { z } from "zod";
+import * as z from "zod";
 import { flag, number } from "../config/ini-values.js";
 import { type Calendar, isTimeZone, type Period, type Weekday } from "./calendar.js";
 
--- a/src/config/ini-values.ts
+++ b/src/config/ini-values.ts
@@ -1,5 +1,5 @@
 /** Values of an INI file, which its parser leaves as texts or booleans. */
-import { z } from "zod";
+import * as z from "zod";
 
 export const flag = z
   .union([z.boolean(), z.enum(["true", "false"])])
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -1,6 +1,6 @@
 /** The operators' own settings: an INI file, all of it optional. */
 import { parse } from "ini";
-import { z } from "zod";
+import * as z from "zod";
 import { type AdmissionSettings, decodeAdmission } from "../admission/index.js";
 import { flag } from "./ini-values.js";
 
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -1,5 +1,5 @@
 /** Schemas for what other programs send us, each turned into the field's terms. */
-import { z } from "zod";
+import * as z from "zod";
 import type {
   Command,
   JobSpec,
--- a/src/wire/settings.ts
+++ b/src/wire/settings.ts
@@ -1,5 +1,5 @@
 /** The settings file that the platform hands over. Fields we do not know are ignored. */
-import { z } from "zod";
+import * as z from "zod";
 import type { ClusterSettings } from "../core/model.js";
 
 const address = z.string().regex(/^[^:\s]+:\d{1,5}$/, "not an address host:port");
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -1,5 +1,5 @@
 /** Messages of the state service. */
-import { z } from "zod";
+import * as z from "zod";
 
 export type Stored = unknown;
 
--- a/tests/process-site.ts
+++ b/tests/process-site.ts
@@ -16,7 +16,7 @@
 import { CloudStandIn, StateStandIn, WorkerStandIn } from "./stand-ins.js";
 
 /** The program as this version's build leaves it. */
-export const PROGRAM = fileURLToPath(new URL("../../peatsaddle.js", import.meta.url));
+export const PROGRAM = fileURLToPath(new URL("../../peatsaddle.cjs", import.meta.url));
 
 const NODES = 3;
 const WORKERS = 4;
@@ -39,6 +39,12 @@
   readonly workers?: number;
   /** Told of each end of a task. */
   readonly ended?: (task: string, cause: TaskReport["cause"]) => void;
+  /** Seconds between a worker's reports, and of its lease, on both sides. */
+  readonly report?: { readonly everyS: number; readonly leaseS: number };
+  /** Arguments of Node.js before the program. */
+  readonly nodeArguments?: readonly string[];
+  /** Variables of one node's process. */
+  readonly environment?: (node: number) => Record<string, string>;
   /** Told of each line that a process logs; none are logged otherwise. */
   readonly line?: (node: number, line: Record<string, unknown>) => void;
 }
@@ -97,7 +103,13 @@
     const base = JSON.parse(settingsText()) as { settings: object };
     const settings = {
       ...base.settings,
-      workers: { report_s: 1, lease_s: 6, gang_wait_s: 10, gang_peer_s: 3, cancel_s: 10 },
+      workers: {
+        report_s: this.options.report?.everyS ?? 1,
+        lease_s: this.options.report?.leaseS ?? LEASE_MS / 1000,
+        gang_wait_s: 10,
+        gang_peer_s: 3,
+        cancel_s: 10,
+      },
       state: { rps: 1000, write_rps: 500, value_kb: 8, txn_ops: 32, ...this.options.state },
       ...(this.options.teams === undefined ? {} : { teams: this.options.teams }),
     };
@@ -117,14 +129,15 @@
   }
 
   private async startWorkers(): Promise<void> {
+    const { report } = this.options;
     for (let i = 0; i < (this.options.workers ?? WORKERS); i++) {
       const worker = new WorkerStandIn(
         `m-${i}`,
         i % 2 === 0 ? "a" : "b",
         this.members,
         this.options.taskMs,
-        REPORT_MS,
-        LEASE_MS,
+        report === undefined ? REPORT_MS : report.everyS * 1000,
+        report === undefined ? LEASE_MS : report.leaseS * 1000,
         (task, machine, on, cause) => {
           this.rules.task(task, machine, on, cause);
           if (!on) this.options.ended?.(task, cause);
@@ -140,11 +153,13 @@
   start(i: number, program: string = PROGRAM): void {
     const { line } = this.options;
     const level = process.env.SITE_LOG ?? (line === undefined ? "error" : "info");
-    const env = { ...process.env, LOG_LEVEL: level };
+    const env = { ...process.env, LOG_LEVEL: level, ...this.options.environment?.(i) };
     const unread = process.env.SITE_LOG === undefined ? "ignore" : "inherit";
     const operator = program === PROGRAM && this.operatorFile !== null;
     const args = operator ? ["--operator", this.operatorFile!] : [];
-    const child = spawn(process.execPath, [program, "--config", this.files[i]!, ...args], {
+    const ofNode = this.options.nodeArguments ?? [];
+    const command = [...ofNode, program, "--config", this.files[i]!, ...args];
+    const child = spawn(process.execPath, command, {
       env,
       stdio: ["ignore", "ignore", line === undefined ? unread : "pipe"],
     });
@@ -157,7 +172,7 @@
     });
   }
 
-  signal(i: number, signal: "SIGKILL" | "SIGSTOP" | "SIGCONT"): void {
+  signal(i: number, signal: "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGUSR2"): void {
     this.processes[i]?.kill(signal);
   }
 
--- /dev/null
+++ b/tests/profile.ts
@@ -0,0 +1,178 @@
+/**
+ * The program behind `npm run profile`: three controllers as processes of their own, stand-in workers, and users who
+ * submit and ask; prints where each controller's processor time goes. Figures of stand-ins on loopback.
+ */
+import { existsSync, mkdtempSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { Command } from "commander";
+import { eventually, ProcessSite } from "./process-site.js";
+import type { ProcessProfile } from "./profile-hook.js";
+import { sleep } from "./site.js";
+
+/** The program in many files, so that each sample names its module. */
+const PROGRAM = fileURLToPath(new URL("../../main.js", import.meta.url));
+const HOOK = new URL("./profile-hook.js", import.meta.url).href;
+const NODES = 3;
+const CPUS_A_MACHINE = 4;
+const REPORT_S = 3;
+const LEASE_S = 21;
+const TASKS_A_JOB = 40;
+const SHOWN = 40;
+
+interface Options {
+  readonly machines: number;
+  readonly seconds: number;
+  readonly warmUp: number;
+  readonly taskSeconds: number;
+  readonly questions: number;
+}
+
+type Node = ProcessProfile["profile"]["nodes"][number];
+
+/** Milliseconds by name: `self` without what was called, `inclusive` with it. */
+interface Times {
+  readonly self: Map<string, number>;
+  readonly inclusive: Map<string, number>;
+}
+
+/** The module of a frame: a file of ours, a package, or a part of Node.js. */
+function moduleOf({ url, functionName }: Node["callFrame"]): string {
+  if (url.startsWith("node:")) return url;
+  const packaged = /node_modules\/((?:@[^/]+\/)?[^/]+)/.exec(url);
+  if (packaged !== null) return packaged[1]!;
+  const own = /target\/(.+)\.js$/.exec(url);
+  return own === null ? functionName || "native" : own[1]!;
+}
+
+function timesOf({ nodes, samples, timeDeltas }: ProcessProfile["profile"]): Times {
+  const byId = new Map(nodes.map((n) => [n.id, n]));
+  const parents = new Map<number, number>();
+  for (const n of nodes) for (const child of n.children ?? []) parents.set(child, n.id);
+  const self = new Map<string, number>();
+  const inclusive = new Map<string, number>();
+  const add = (times: Map<string, number>, name: string, ms: number): void => {
+    times.set(name, (times.get(name) ?? 0) + ms);
+  };
+  samples?.forEach((id, i) => {
+    const ms = (timeDeltas?.[i] ?? 0) / 1000;
+    add(self, moduleOf(byId.get(id)!.callFrame), ms);
+    const seen = new Set<string>();
+    for (let at: number | undefined = id; at !== undefined; at = parents.get(at)) {
+      const { callFrame } = byId.get(at)!;
+      seen.add(`${callFrame.functionName || "(anonymous)"} ${moduleOf(callFrame)}`);
+    }
+    for (const name of seen) add(inclusive, name, ms);
+  });
+  return { self, inclusive };
+}
+
+function table(title: string, times: ReadonlyMap<string, number>, seconds: number): string {
+  const rows = [...times]
+    .filter(([name]) => !name.includes("(idle)") && !name.includes("(root)"))
+    .sort((a, b) => b[1] - a[1])
+    .slice(0, SHOWN)
+    .map(([name, ms]) => `  ${(ms / seconds).toFixed(2).padStart(8)} ${name}`);
+  return [`${title} (ms a second)`, ...rows].join("\n");
+}
+
+function describe(member: string, measured: ProcessProfile): string {
+  const { seconds, cpuMs, gcMs, gcRuns, loopUtilization, residentMb, heapMb, profile } = measured;
+  const { self, inclusive } = timesOf(profile);
+  return [
+    `${member}: ${(cpuMs / seconds).toFixed(1)} ms of processor time a second, ` +
+      `garbage collection ${(gcMs / seconds).toFixed(2)} ms in ${(gcRuns / seconds).toFixed(2)} runs, ` +
+      `event loop ${(100 * loopUtilization).toFixed(1)}%, resident ${residentMb.toFixed(0)} MB, ` +
+      `heap ${heapMb.toFixed(0)} MB`,
+    table("  by module, without what it calls", self, seconds),
+    table("  by function, with what it calls", inclusive, seconds),
+  ].join("\n");
+}
+
+/** Users who keep the machines full, and ask about what they submitted. */
+class Users {
+  private next = 0;
+  private readonly submitted: string[] = [];
+  private stopped = false;
+
+  constructor(
+    private readonly site: ProcessSite,
+    private readonly options: Options,
+  ) {}
+
+  start(): void {
+    void this.submitAll();
+    void this.askAll();
+  }
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async submitAll(): Promise<void> {
+    const { machines, taskSeconds } = this.options;
+    const jobsASecond = (machines * CPUS_A_MACHINE) / TASKS_A_JOB / taskSeconds;
+    while (!this.stopped) {
+      const id = `run-${this.next++}`;
+      const change = { strides: TASKS_A_JOB, rideS: taskSeconds, memoryGb: 0.1, outfit: "maps" };
+      void this.site
+        .submitOnce(this.next % NODES, id, change)
+        .then(({ status }) => status === 201 && this.submitted.push(id));
+      await sleep(1 / jobsASecond);
+    }
+  }
+
+  private async askAll(): Promise<void> {
+    for (let n = 0; !this.stopped; n++) {
+      const id = this.submitted[(n * 7) % Math.max(1, this.submitted.length)];
+      if (id !== undefined) void this.site.query(n % NODES, id).catch(() => null);
+      await sleep(1 / this.options.questions);
+    }
+  }
+}
+
+async function measure(options: Options): Promise<string> {
+  const dir = mkdtempSync(join(tmpdir(), "peatsaddle-profile-"));
+  const files = Array.from({ length: NODES }, (_, i) => join(dir, `n${i}.json`));
+  const site = await ProcessSite.open({
+    taskMs: () => options.taskSeconds * 1000,
+    workers: options.machines,
+    report: { everyS: REPORT_S, leaseS: LEASE_S },
+    nodeArguments: ["--import", HOOK],
+    environment: (i) => ({ PROFILE_FILE: files[i]! }),
+  });
+  try {
+    for (let i = 0; i < NODES; i++) site.start(i, PROGRAM);
+    for (let i = 0; i < NODES; i++) await site.healthy(i);
+    await eventually("somebody leads", () => site.leader() >= 0);
+    const users = new Users(site, options);
+    users.start();
+    await sleep(options.warmUp);
+    for (let i = 0; i < NODES; i++) site.signal(i, "SIGUSR2");
+    await sleep(options.seconds);
+    for (let i = 0; i < NODES; i++) site.signal(i, "SIGUSR2");
+    await eventually("profiles are written", () => files.every(existsSync));
+    await sleep(1);
+    users.stop();
+    const leader = site.leader();
+    const text = files.map((file, i) => {
+      const measured = JSON.parse(readFileSync(file, "utf8")) as ProcessProfile;
+      return describe(`n${i}${i === leader ? " (leader)" : ""}`, measured);
+    });
+    return text.join("\n\n");
+  } finally {
+    site.close();
+  }
+}
+
+const options = new Command("profile")
+  .description("where the processor time of three controllers goes; figures of stand-ins")
+  .option("--machines <n>", "stand-in workers", Number, 720)
+  .option("--seconds <n>", "how long is measured", Number, 20)
+  .option("--warm-up <n>", "seconds before that", Number, 25)
+  .option("--task-seconds <n>", "run time of a task", Number, 40)
+  .option("--questions <n>", "users' questions a second", Number, 20)
+  .parse()
+  .opts<Options>();
+process.stdout.write(`${await measure(options)}\n`);
+process.exit(0);
