Workers' reports are answered in front of fastify, and checked field by field

Cause: of the leader's processor time (npm run profile, 720 stand-in workers) half went to the way of a report through fastify and back, 5% to its schema.

--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -1,18 +1,13 @@
 /** What users, workers and the load balancer reach: HTTP by fastify, bodies in MessagePack. */
+import { createServer, type RequestListener, type Server } from "node:http";
 import Fastify, { type FastifyInstance, type FastifyReply } from "fastify";
 import type { AdaptiveLimit } from "../core/limit.js";
-import type { Command, JobSpec, JobView, Report } from "../core/model.js";
+import type { JobSpec, JobView } from "../core/model.js";
 import { decode, encode } from "../wire/msgpack.js";
 import { PATH } from "../wire/names.js";
-import {
-  decodeJob,
-  decodeReport,
-  encodeCommands,
-  encodeRedirect,
-  encodeView,
-  idIsValid,
-} from "../wire/schema.js";
+import { decodeJob, encodeView, idIsValid } from "../wire/schema.js";
 import type { IntakeResult } from "./intake.js";
+import { type ReportBackend, Reports } from "./reports.js";
 import type { SubmissionOutcome } from "./submissions.js";
 
 const BODY_LIMIT = 64 * 1024;
@@ -20,7 +15,7 @@
 const TURNS = 3;
 
 /** What the server asks of the controller it is the front of. */
-export interface ApiBackend {
+export interface ApiBackend extends ReportBackend {
   healthy(): boolean;
   /** Users are to go to other nodes, though what they ask here is answered. */
   leavesUsers(): boolean;
@@ -34,14 +29,6 @@
   cancel(id: string): Promise<IntakeResult>;
   /** The job's end, done or cancelled, once it is stored; null if it is not in so many seconds. */
   ended(id: string, withinS: number): Promise<JobView | null>;
-  report(
-    r: Report,
-  ):
-    | { readonly kind: "answer"; readonly token: number; readonly commands: readonly Command[] }
-    | { readonly kind: "elsewhere"; readonly leader: string | null }
-    | { readonly kind: "unavailable" };
-  /** The node that reports go to, if it is certain without reading one that it is another. */
-  elsewhere(): string | null;
 }
 
 export interface ServerOptions {
@@ -87,7 +74,7 @@
   const app = Fastify({
     logger: false,
     bodyLimit: BODY_LIMIT,
-    keepAliveTimeout: options.idleS * 1000,
+    serverFactory: (handler) => serverOf(handler, backend, options),
     forceCloseConnections: true,
     exposeHeadRoutes: false,
   });
@@ -98,6 +85,18 @@
   return app;
 }
 
+/** The HTTP server: reports are answered at once, all else goes to fastify. */
+function serverOf(handler: RequestListener, backend: ApiBackend, options: ServerOptions): Server {
+  const { retryAfterS, fault, idleS } = options;
+  const reports = new Reports(backend, { bodyLimit: BODY_LIMIT, retryAfterS, fault });
+  const server = createServer({ keepAliveTimeout: idleS * 1000 }, (request, response) => {
+    if (reports.takes(request)) reports.handle(request, response);
+    else handler(request, response);
+  });
+  server.requestTimeout = 0;
+  return server;
+}
+
 class Routes {
   /** Requests that were refused for being too many: each is told to come back in its turn. */
   private refusedAsBusy = 0;
@@ -129,15 +128,6 @@
     app.post<{ Params: { id: string } }>(`${PATH.jobs}/:id/${PATH.cancel}`, (req, reply) =>
       this.cancel(req.params.id, reply),
     );
-    // After a takeover every worker comes here once: it is sent on before its report is read.
-    const sendOn = (_req: unknown, reply: FastifyReply, next: () => void): void => {
-      const leader = backend.elsewhere();
-      if (leader === null) next();
-      else send(reply, 421, encodeRedirect(leader));
-    };
-    app.post(PATH.report, { onRequest: sendOn }, (req, reply) =>
-      this.report(unpack(req.body), reply),
-    );
   }
 
   /** Refuses at once, and tells when to come back. */
@@ -237,15 +227,4 @@
     const stored = await this.backend.cancel(id);
     return stored === "unavailable" ? this.refuse(reply, 503, "unavailable") : null;
   }
-
-  private report(body: unknown, reply: FastifyReply): FastifyReply {
-    const report = decodeReport(body);
-    if (report === null) return send(reply, 400, { error: "malformed" });
-    const answer = this.backend.report(report);
-    if (answer.kind === "answer") {
-      return send(reply, 200, encodeCommands(answer.token, null, answer.commands));
-    }
-    if (answer.kind === "elsewhere") return send(reply, 421, encodeRedirect(answer.leader));
-    return this.refuse(reply, 503, "unavailable");
-  }
 }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,6 +7,7 @@
 import { AdmissionControl, type LoggedDecision } from "./admission/index.js";
 import { Ends } from "./api/ends.js";
 import { Intake } from "./api/intake.js";
+import type { ReportAnswer } from "./api/reports.js";
 import { type ApiBackend, buildServer } from "./api/server.js";
 import { Submissions } from "./api/submissions.js";
 import { Cloud } from "./cloud/client.js";
@@ -325,7 +326,7 @@
 
   // ---------------------------------------------------------------- workers
 
-  report(r: Report): ReturnType<ApiBackend["report"]> {
+  report(r: Report): ReportAnswer {
     const now = steady();
     const leading = this.leadership.current;
     if (leading !== null) return this.reportTo(leading, r, now);
@@ -336,11 +337,7 @@
     return { kind: "elsewhere", leader: leader === this.settings.member ? null : leader };
   }
 
-  private reportTo(
-    { term, scheduler }: Leading,
-    r: Report,
-    now: number,
-  ): ReturnType<ApiBackend["report"]> {
+  private reportTo({ term, scheduler }: Leading, r: Report, now: number): ReportAnswer {
     if (term.acting(now)) {
       const { commands, outputs } = scheduler.report(r, now);
       const token = term.epoch;
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -1,24 +1,8 @@
 /** Schemas for what other programs send us, each turned into the field's terms. */
 import * as z from "zod";
-import type {
-  Command,
-  JobSpec,
-  JobView,
-  ListedMachine,
-  MachineType,
-  Report,
-  TaskReport,
-} from "../core/model.js";
-import {
-  CAUSE,
-  CAUSE_IN,
-  KIND_IN,
-  OP,
-  OP_IN,
-  PRIORITY_IN,
-  TASK_STATE,
-  TASK_STATE_IN,
-} from "./names.js";
+import type { Command, JobSpec, JobView, ListedMachine, MachineType } from "../core/model.js";
+import { KIND_IN, OP, OP_IN, PRIORITY_IN } from "./names.js";
+import { splitTask } from "./report.js";
 
 /** Keys hold at most 200 bytes without spaces; ours put up to four characters before an id. */
 const ID_BYTES = 190;
@@ -111,102 +95,6 @@
     ? { nameId: v.id, stance: v.state, done: v.done, running: v.running }
     : { nameId: v.id, stance: v.state };
 
-export function splitTask(name: string): { job: string; task: number } | null {
-  const slash = name.lastIndexOf("/");
-  const task = Number(name.slice(slash + 1));
-  if (slash <= 0 || !Number.isInteger(task) || task < 0) return null;
-  return { job: name.slice(0, slash), task };
-}
-
-const isCount = (n: unknown): n is number => Number.isInteger(n) && (n as number) >= 0;
-
-/**
- * One task of a report. A schema for each cost three quarters of what a report costs, and reports
- * are most of what the leader does; so these few fields are looked at one by one.
- */
-function taskIn(t: unknown): TaskReport | null {
-  if (typeof t !== "object" || t === null) return null;
-  const { stride, mounting, stance, cause, saved } = t as Record<string, unknown>;
-  if (typeof stride !== "string" || typeof stance !== "string" || !isCount(mounting)) return null;
-  if (!Object.hasOwn(TASK_STATE_IN, stance)) return null;
-  const at = splitTask(stride);
-  if (at === null) return null;
-  const state = TASK_STATE_IN[stance]!;
-  // An exit for a reason we do not know is an exit all the same.
-  const why =
-    typeof cause === "string" && Object.hasOwn(CAUSE_IN, cause) ? CAUSE_IN[cause]! : "error";
-  return {
-    job: at.job,
-    task: at.task,
-    attempt: mounting,
-    state,
-    cause: state === "exited" ? why : null,
-    saved: saved === true,
-  };
-}
-
-const reportIn = z
-  .object({
-    mount: label,
-    address: z.string().min(3),
-    breed: z.string(),
-    paddock: z.string(),
-    loaners: z.boolean(),
-    stint: whole,
-    tally: whole,
-    rein: whole,
-    recallS: finite.nullish(),
-    strides: z.array(z.unknown()),
-  })
-  .transform((r, ctx): Report => {
-    const tasks: TaskReport[] = [];
-    for (const x of r.strides) {
-      const t = taskIn(x);
-      if (t === null) {
-        ctx.addIssue({ code: "custom", message: "not a task" });
-        return z.NEVER;
-      }
-      tasks.push(t);
-    }
-    return {
-      machine: r.mount,
-      address: r.address,
-      type: r.breed,
-      zone: r.paddock,
-      spot: r.loaners,
-      session: r.stint,
-      seq: r.tally,
-      token: r.rein,
-      noticeS: r.recallS ?? null,
-      tasks,
-    };
-  });
-
-export function decodeReport(body: unknown): Report | null {
-  const r = reportIn.safeParse(body);
-  return r.success ? r.data : null;
-}
-
-/** The other side of a report, for the worker stand-in. */
-export const encodeReport = (r: Report): Record<string, unknown> => ({
-  mount: r.machine,
-  address: r.address,
-  breed: r.type,
-  paddock: r.zone,
-  loaners: r.spot,
-  stint: r.session,
-  tally: r.seq,
-  rein: r.token,
-  recallS: r.noticeS,
-  strides: r.tasks.map((t) => ({
-    stride: `${t.job}/${t.task}`,
-    mounting: t.attempt,
-    stance: TASK_STATE[t.state],
-    ...(t.cause === null ? {} : { cause: CAUSE[t.cause] }),
-    ...(t.saved ? { saved: true } : {}),
-  })),
-});
-
 const encodeCommand = (c: Command): Record<string, unknown> => {
   const base = { call: OP[c.op], stride: `${c.job}/${c.task}`, mounting: c.attempt };
   return c.op === "stop" ? { ...base, easeS: c.graceS } : base;
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -8,7 +8,8 @@
 import { Peer, RequestFailed } from "../net/client.js";
 import { decode, encode } from "../wire/msgpack.js";
 import { PATH } from "../wire/names.js";
-import { decodeReport, encodeCommands } from "../wire/schema.js";
+import { decodeReport } from "../wire/report.js";
+import { encodeCommands } from "../wire/schema.js";
 
 export class Workers {
   private readonly peers = new Map<string, Peer>();
--- a/tests/partitions.test.ts
+++ b/tests/partitions.test.ts
@@ -10,7 +10,7 @@
 import { encodeHeartbeat } from "../src/mesh/codec.js";
 import { Peer } from "../src/net/client.js";
 import { decode, encode } from "../src/wire/msgpack.js";
-import { encodeReport } from "../src/wire/schema.js";
+import { encodeReport } from "../src/wire/report.js";
 import { decodeSettings } from "../src/wire/settings.js";
 import { settingsText, spec, task } from "./helpers.js";
 import { freePorts } from "./site.js";
--- a/tests/profile-hook.ts
+++ b/tests/profile-hook.ts
@@ -4,7 +4,7 @@
  */
 import { writeFileSync } from "node:fs";
 import { type Profiler, Session } from "node:inspector/promises";
-import { type EventLoopUtilization, PerformanceObserver, performance } from "node:perf_hooks";
+import { PerformanceObserver, performance } from "node:perf_hooks";
 
 /** What one controller measured of itself. */
 export interface ProcessProfile {
@@ -12,19 +12,19 @@
   readonly cpuMs: number;
   readonly gcMs: number;
   readonly gcRuns: number;
-  readonly loopUtilization: number;
   readonly residentMb: number;
   readonly heapMb: number;
-  readonly profile: Profiler.Profile;
+  /** Null: without samples, which cost processor time themselves. */
+  readonly profile: Profiler.Profile | null;
 }
 
 const SAMPLING_US = 500;
 const MB = 2 ** 20;
 
 const file = process.env.PROFILE_FILE;
+const sampled = process.env.PROFILE_SAMPLED === "yes";
 const session = new Session();
-session.connect();
-let began: { at: number; cpu: NodeJS.CpuUsage; loop: EventLoopUtilization } | null = null;
+let began: { at: number; cpu: NodeJS.CpuUsage } | null = null;
 const gc = { ms: 0, runs: 0 };
 const observer = new PerformanceObserver((list) => {
   for (const entry of list.getEntries()) {
@@ -34,29 +34,29 @@
 });
 
 async function start(): Promise<void> {
-  await session.post("Profiler.enable");
-  await session.post("Profiler.setSamplingInterval", { interval: SAMPLING_US });
   observer.observe({ entryTypes: ["gc"] });
-  await session.post("Profiler.start");
+  if (sampled) {
+    session.connect();
+    await session.post("Profiler.enable");
+    await session.post("Profiler.setSamplingInterval", { interval: SAMPLING_US });
+    await session.post("Profiler.start");
+  }
   began = {
     at: performance.now(),
     cpu: process.cpuUsage(),
-    loop: performance.eventLoopUtilization(),
   };
 }
 
 async function stop(since: NonNullable<typeof began>): Promise<void> {
   const cpu = process.cpuUsage(since.cpu);
   const seconds = (performance.now() - since.at) / 1000;
-  const loop = performance.eventLoopUtilization(since.loop);
-  const { profile } = await session.post("Profiler.stop");
+  const profile = sampled ? (await session.post("Profiler.stop")).profile : null;
   const { rss, heapUsed } = process.memoryUsage();
   const measured: ProcessProfile = {
     seconds,
     cpuMs: (cpu.user + cpu.system) / 1000,
     gcMs: gc.ms,
     gcRuns: gc.runs,
-    loopUtilization: loop.utilization,
     residentMb: rss / MB,
     heapMb: heapUsed / MB,
     profile,
--- a/tests/profile.ts
+++ b/tests/profile.ts
@@ -27,9 +27,12 @@
   readonly warmUp: number;
   readonly taskSeconds: number;
   readonly questions: number;
+  readonly total: boolean;
+  readonly program: string;
 }
 
-type Node = ProcessProfile["profile"]["nodes"][number];
+type Profile = NonNullable<ProcessProfile["profile"]>;
+type Node = Profile["nodes"][number];
 
 /** Milliseconds by name: `self` without what was called, `inclusive` with it. */
 interface Times {
@@ -46,7 +49,7 @@
   return own === null ? functionName || "native" : own[1]!;
 }
 
-function timesOf({ nodes, samples, timeDeltas }: ProcessProfile["profile"]): Times {
+function timesOf({ nodes, samples, timeDeltas }: Profile): Times {
   const byId = new Map(nodes.map((n) => [n.id, n]));
   const parents = new Map<number, number>();
   for (const n of nodes) for (const child of n.children ?? []) parents.set(child, n.id);
@@ -78,13 +81,15 @@
 }
 
 function describe(member: string, measured: ProcessProfile): string {
-  const { seconds, cpuMs, gcMs, gcRuns, loopUtilization, residentMb, heapMb, profile } = measured;
+  const { seconds, cpuMs, gcMs, gcRuns, residentMb, heapMb, profile } = measured;
+  const summary =
+    `${member}: ${(cpuMs / seconds).toFixed(1)} ms of processor time a second, ` +
+    `garbage collection ${(gcMs / seconds).toFixed(2)} ms in ${(gcRuns / seconds).toFixed(2)} runs, ` +
+    `resident ${residentMb.toFixed(0)} MB, heap ${heapMb.toFixed(0)} MB`;
+  if (profile === null) return summary;
   const { self, inclusive } = timesOf(profile);
   return [
-    `${member}: ${(cpuMs / seconds).toFixed(1)} ms of processor time a second, ` +
-      `garbage collection ${(gcMs / seconds).toFixed(2)} ms in ${(gcRuns / seconds).toFixed(2)} runs, ` +
-      `event loop ${(100 * loopUtilization).toFixed(1)}%, resident ${residentMb.toFixed(0)} MB, ` +
-      `heap ${heapMb.toFixed(0)} MB`,
+    summary,
     table("  by module, without what it calls", self, seconds),
     table("  by function, with what it calls", inclusive, seconds),
   ].join("\n");
@@ -131,6 +136,12 @@
   }
 }
 
+function reportsOf(site: ProcessSite): number {
+  let reports = 0;
+  for (const worker of site.cloud.workers.values()) reports += worker.sent.length;
+  return reports;
+}
+
 async function measure(options: Options): Promise<string> {
   const dir = mkdtempSync(join(tmpdir(), "peatsaddle-profile-"));
   const files = Array.from({ length: NODES }, (_, i) => join(dir, `n${i}.json`));
@@ -139,27 +150,33 @@
     workers: options.machines,
     report: { everyS: REPORT_S, leaseS: LEASE_S },
     nodeArguments: ["--import", HOOK],
-    environment: (i) => ({ PROFILE_FILE: files[i]! }),
+    environment: (i) => ({
+      PROFILE_FILE: files[i]!,
+      PROFILE_SAMPLED: options.total ? "no" : "yes",
+    }),
   });
   try {
-    for (let i = 0; i < NODES; i++) site.start(i, PROGRAM);
+    for (let i = 0; i < NODES; i++) site.start(i, options.program);
     for (let i = 0; i < NODES; i++) await site.healthy(i);
     await eventually("somebody leads", () => site.leader() >= 0);
     const users = new Users(site, options);
     users.start();
     await sleep(options.warmUp);
+    const leader = site.leader();
+    const reportsBefore = reportsOf(site);
     for (let i = 0; i < NODES; i++) site.signal(i, "SIGUSR2");
     await sleep(options.seconds);
+    const reports = (reportsOf(site) - reportsBefore) / options.seconds;
     for (let i = 0; i < NODES; i++) site.signal(i, "SIGUSR2");
     await eventually("profiles are written", () => files.every(existsSync));
     await sleep(1);
     users.stop();
-    const leader = site.leader();
+    const kept = site.leader() === leader ? "one leader" : "the leader changed: of no use";
     const text = files.map((file, i) => {
       const measured = JSON.parse(readFileSync(file, "utf8")) as ProcessProfile;
       return describe(`n${i}${i === leader ? " (leader)" : ""}`, measured);
     });
-    return text.join("\n\n");
+    return [`${reports.toFixed(0)} reports a second, ${kept}`, ...text].join("\n\n");
   } finally {
     site.close();
   }
@@ -171,6 +188,8 @@
   .option("--seconds <n>", "how long is measured", Number, 20)
   .option("--warm-up <n>", "seconds before that", Number, 25)
   .option("--task-seconds <n>", "run time of a task", Number, 40)
+  .option("--program <file>", "main.js of another build, to compare with", PROGRAM)
+  .option("--total", "without samples, which cost processor time themselves", false)
   .option("--questions <n>", "users' questions a second", Number, 20)
   .parse()
   .opts<Options>();
--- /dev/null
+++ b/tests/reports.test.ts
@@ -0,0 +1,173 @@
+/** Workers' reports over real connections: what each answer is, and that bad ones end nothing else. */
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { after, before, beforeEach, test } from "node:test";
+import { type ApiBackend, buildServer } from "../src/api/server.js";
+import { AdaptiveLimit } from "../src/core/limit.js";
+import type { Report } from "../src/core/model.js";
+import { Peer } from "../src/net/client.js";
+import { decode, encode } from "../src/wire/msgpack.js";
+import { decodeReport, encodeReport } from "../src/wire/report.js";
+import { task } from "./helpers.js";
+
+const REPORT: Report = {
+  machine: "m-1",
+  address: "10.0.0.1:9000",
+  type: "small",
+  zone: "a",
+  spot: false,
+  session: 1,
+  seq: 3,
+  token: 2,
+  noticeS: null,
+  tasks: [task("run-1", 3, 1), task("run-1", 4, 2, "exited", "done")],
+};
+const wire = encodeReport(REPORT);
+const BODY_LIMIT = 64 * 1024;
+
+let answer: ReturnType<ApiBackend["report"]>;
+let leader: string | null;
+let heard: Report[];
+let faults: Error[];
+
+const unused = (): never => assert.fail("reports ask for nothing else");
+const backend: ApiBackend = {
+  healthy: () => true,
+  leavesUsers: () => false,
+  read: unused,
+  judge: unused,
+  submit: unused,
+  cancel: unused,
+  ended: unused,
+  report: (r) => {
+    heard.push(r);
+    return answer;
+  },
+  elsewhere: () => leader,
+};
+const app = buildServer(backend, {
+  questions: new AdaptiveLimit(8, 8, 1),
+  mutations: new AdaptiveLimit(8, 8, 1),
+  now: () => 0,
+  retryAfterS: 1,
+  maxWaitS: 1,
+  idleS: 10,
+  took: () => {},
+  fault: (e) => faults.push(e),
+});
+let worker: Peer;
+
+before(async () => {
+  // Some answers close their connection: the next one may be open before that is over.
+  worker = new Peer((await app.listen({ host: "127.0.0.1", port: 0 })).slice(7), 4);
+});
+after(async () => {
+  worker.close();
+  await app.close();
+});
+beforeEach(() => {
+  answer = { kind: "answer", token: 7, commands: [] };
+  leader = null;
+  heard = [];
+  faults = [];
+});
+
+const send = (body: Buffer) => worker.request("POST", "/checkin", body, 2000);
+
+test("an answer carries the token and the commands, also after one without commands", async () => {
+  for (let i = 0; i < 2; i++) {
+    const quiet = await send(encode(wire));
+    assert.equal(quiet.status, 200);
+    assert.deepEqual(decode(quiet.body), { rein: 7, calls: [] });
+  }
+  answer = {
+    kind: "answer",
+    token: 7,
+    commands: [{ op: "forget", job: "run-1", task: 4, attempt: 2 }],
+  };
+  assert.deepEqual(decode((await send(encode(wire))).body), {
+    rein: 7,
+    calls: [{ call: "forget", stride: "run-1/4", mounting: 2 }],
+  });
+  answer = { kind: "answer", token: 200_000, commands: [] };
+  assert.deepEqual(decode((await send(encode(wire))).body), { rein: 200_000, calls: [] });
+  assert.deepEqual(heard, [REPORT, REPORT, REPORT, REPORT]);
+});
+
+test("a report that comes in pieces is read as a whole", async () => {
+  const body = encode(wire);
+  const head = `POST /checkin HTTP/1.1\r\nHost: x\r\nContent-Length: ${body.length}\r\n\r\n`;
+  const [host, port] = worker.address.split(":") as [string, string];
+  const socket = connect({ host, port: Number(port), noDelay: true });
+  const answered = new Promise<Buffer>((resolve) => socket.once("data", resolve));
+  for (const piece of [head, body.subarray(0, 10), body.subarray(10)]) {
+    socket.write(piece);
+    await new Promise((r) => setTimeout(r, 20));
+  }
+  assert.match((await answered).toString("latin1"), /^HTTP\/1.1 200 /);
+  socket.destroy();
+  assert.deepEqual(heard, [REPORT]);
+});
+
+test("a node that is certain of another leader sends on without reading, and keeps the connection", async () => {
+  leader = "n1";
+  const reply = await send(Buffer.from("no report at all"));
+  assert.equal(reply.status, 421);
+  assert.deepEqual(decode(reply.body), { groom: "n1" });
+  assert.notEqual(reply.headers.get("connection"), "close");
+  leader = null;
+  answer = { kind: "elsewhere", leader: null };
+  assert.deepEqual(decode((await send(encode(wire))).body), {});
+  answer = { kind: "elsewhere", leader: "n2" };
+  assert.deepEqual(decode((await send(encode(wire))).body), { groom: "n2" });
+});
+
+test("who cannot tell refuses at once with Retry-After", async () => {
+  answer = { kind: "unavailable" };
+  const reply = await send(encode(wire));
+  assert.equal(reply.status, 503);
+  assert.ok(Number(reply.headers.get("retry-after")) >= 1);
+});
+
+test("what is no report gets 400 and reaches nobody; the next one is answered", async () => {
+  const bad: Record<string, unknown>[] = [
+    { mount: "" },
+    { mount: "m".repeat(191) },
+    { mount: "\u20ac".repeat(64) },
+    { address: "x" },
+    { breed: 1 },
+    { paddock: null },
+    { loaners: "no" },
+    { stint: -1 },
+    { tally: 1.5 },
+    { rein: 2 ** 53 },
+    { recallS: -1 },
+    { recallS: Number.POSITIVE_INFINITY },
+    { strides: {} },
+    { strides: [{ stride: "run-1", mounting: 1, stance: "running" }] },
+    { strides: [{ stride: "run-1/0", mounting: 1, stance: "asleep" }] },
+    { strides: [null] },
+  ];
+  for (const change of bad) {
+    const reply = await send(encode({ ...wire, ...change }));
+    assert.equal(reply.status, 400, JSON.stringify(change));
+  }
+  for (const body of [Buffer.alloc(0), Buffer.from([0xc1]), encode([1]), encode(null)]) {
+    assert.equal((await send(body)).status, 400);
+  }
+  assert.equal((await send(Buffer.alloc(BODY_LIMIT + 1))).status, 400);
+  assert.deepEqual(heard, []);
+  assert.equal((await send(encode(wire))).status, 200);
+});
+
+test("a fault of our own is answered with 503 and told", async () => {
+  answer = null as never;
+  assert.equal((await send(encode(wire))).status, 503);
+  assert.equal(faults.length, 1);
+});
+
+test("fields that are not known or may be left out are no fault", () => {
+  const { recallS, ...rest } = wire;
+  assert.deepEqual(decodeReport({ ...rest, news: 1 }), REPORT);
+  assert.equal(decodeReport({ ...wire, recallS: 12.5 })?.noticeS, 12.5);
+});
--- a/tests/stand-ins.ts
+++ b/tests/stand-ins.ts
@@ -5,7 +5,8 @@
 import { Peer } from "../src/net/client.js";
 import { decode, encode } from "../src/wire/msgpack.js";
 import { PATH } from "../src/wire/names.js";
-import { decodeCommands, encodeReport } from "../src/wire/schema.js";
+import { encodeReport } from "../src/wire/report.js";
+import { decodeCommands } from "../src/wire/schema.js";
 
 type Answer = { status: number; body: unknown };
 type Handler = (method: string, url: URL, body: unknown) => Answer | Promise<Answer>;
