A log line on what a node spends its time on

Every five report intervals: processor time against the share that the settings give, lateness of timers, memory, and count and time of reports, passes, results of commands and changes of the records.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -25,6 +25,7 @@
 import { Leadership, type Leading } from "./leadership.js";
 import { MachineTypes } from "./machine-types.js";
 import { Mesh } from "./mesh/mesh.js";
+import { type NodeLoad, newNodeLoad } from "./node-load.js";
 import { Follower } from "./state/follower.js";
 import { Store } from "./state/store.js";
 import { StateWrites, TXN_BYTES } from "./state-writes.js";
@@ -62,6 +63,7 @@
   private readonly leadership: Leadership;
   private readonly standby: StandbyResponder;
   private readonly effects: Effects;
+  private readonly load: NodeLoad;
   private tickQueued = false;
   /** Steady time before which no further pass is made for what comes in. */
   private tickAfter = Number.NEGATIVE_INFINITY;
@@ -84,6 +86,7 @@
     this.graceS = Math.max(operator.graceRatio * c.leaseS, c.leaseS / 3 + this.contactGapS());
     this.keepS = operator.keepRatio * c.leaseS;
     this.leaseKeeper = new LeaseKeeper(c.leaseS, this.contactGapS(), this.keepS);
+    this.load = newNodeLoad(c);
     const answerMs = (c.reportS * 1000) / 3;
     this.store = new Store(settings.state, steady, answerMs);
     this.cloud = new Cloud(settings.cloud, c.reportS * 1000);
@@ -156,7 +159,7 @@
       sockets: c.sockets,
       leads: (l) => this.leadership.current === l,
       back: (f) => {
-        this.guarded(() => this.perform(f()));
+        this.guarded(() => this.load.measure("commands", () => this.perform(f())));
         this.queueTick();
       },
     });
@@ -329,7 +332,9 @@
   report(r: Report): ReportAnswer {
     const now = steady();
     const leading = this.leadership.current;
-    if (leading !== null) return this.reportTo(leading, r, now);
+    if (leading !== null) {
+      return this.load.measure("reports", () => this.reportTo(leading, r, now));
+    }
     if (this.standby.answers(r, this.contact(), now, Date.now())) {
       return { kind: "answer", token: this.records.epoch.value.n, commands: [] };
     }
@@ -385,7 +390,7 @@
   }
 
   private changed(touched: Touched | null): void {
-    this.guarded(() => this.takeChanges(touched));
+    this.guarded(() => this.load.measure("records", () => this.takeChanges(touched)));
   }
 
   private takeChanges(touched: Touched | null): void {
@@ -445,6 +450,8 @@
       this.overloaded = this.behindS > this.settings.cluster.reportS / 30;
       const leading = this.leadership.current;
       if (leading !== null) leading.scheduler.overloaded = this.overloaded;
+      const line = this.load.line(this.behindS);
+      if (line !== null) this.log.info({ leads: leading !== null, ...line }, "load");
     }
   }
 
@@ -463,7 +470,7 @@
   /** Passes are spaced, so that whatever they cost, as much time is left for answers. */
   private tick(): void {
     const began = steady();
-    this.guarded(() => this.tickOnce());
+    this.guarded(() => this.load.measure("passes", () => this.tickOnce()));
     const ended = steady();
     if (ended - began > this.settings.cluster.reportS / 4) {
       const jobs = this.records.live.size;
