--- a/src/core/term.ts
+++ b/src/core/term.ts
@@ -20,7 +20,9 @@
  * of a day, and after each move all workers had to be met anew.)
  */
 export function termLeaseS(wantedS: number, cpuShare: number): number {
-  return Math.max(LEAST_LEASE_S, wantedS, HELD_UP_S / cpuShare);
+  const leaseS = Math.max(LEAST_LEASE_S, wantedS, HELD_UP_S / cpuShare);
+  // The state service takes whole milliseconds, and refuses any other length.
+  return Math.ceil(1000 * leaseS) / 1000;
 }
 
 export class Term {
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -122,7 +122,7 @@
   }
 
   async grant(ttlMs: number): Promise<number | null> {
-    const r = await this.call("POST", PATH.leases, { ttlMs });
+    const r = await this.call("POST", PATH.leases, { ttlMs: Math.round(ttlMs) });
     return r.status === 200 ? decodeLease(decode((r as Reply).body)) : null;
   }
 
--- a/tests/stand-ins.ts
+++ b/tests/stand-ins.ts
@@ -152,8 +152,11 @@
     if (this.out) return { status: 503, body: { error: "trouble" } };
     const q = (k: string): string => url.searchParams.get(k) ?? "";
     if (path === PATH.leases && method === "POST") {
+      const { ttlMs } = body as { ttlMs: number };
+      if (!Number.isInteger(ttlMs))
+        return { status: 400, body: { error: "not whole milliseconds" } };
       const id = this.nextLease++;
-      this.arm(id, (body as { ttlMs: number }).ttlMs);
+      this.arm(id, ttlMs);
       return { status: 200, body: { tether: id } };
     }
     if (path.startsWith(`${PATH.leases}/`)) {
