--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -23,8 +23,9 @@
 /** Tasks of large arrays that are placed in a second, for each core, and at once; a quarter when behind. */
 const BULK = 400;
 const BULK_BURST_S = 4;
-/** Searches of one pass for tasks to stop. */
-const SEARCHES_FOR_ROOM = 16;
+/** Searches of one pass for tasks to stop, for each core, and at the most: each goes over all machines. */
+const SEARCHES_FOR_ROOM = 64;
+const MOST_SEARCHES_FOR_ROOM = 16;
 /** Machines that one search may make room on for one job. */
 const MACHINES_A_JOB = 8;
 
@@ -98,7 +99,8 @@
     // Nothing is stopped for what waits while most room is not in sight.
     if (this.monitor.settling(now)) return;
     // Each look for room goes over all machines: what a pass does not come to, the next one does.
-    const searches = { left: SEARCHES_FOR_ROOM };
+    const ofShare = Math.ceil(SEARCHES_FOR_ROOM * this.context.settings.cpuShare);
+    const searches = { left: Math.min(MOST_SEARCHES_FOR_ROOM, ofShare) };
     for (const job of this.fleet.waiting) this.preempt(job, ctx, within, reserve, searches);
   }
 
--- a/src/core/planning/array-placement.ts
+++ b/src/core/planning/array-placement.ts
@@ -10,6 +10,8 @@
 export function placeTasks(job: LiveJob, ctx: PlanContext, reserve: GpuReserve): void {
   const quota = ctx.cluster.quotaSlots(job.spec);
   if (quota <= 0 || job.pendingCount === 0 || job.onTrial) return;
+  // Before the look at all machines, which a long queue of large arrays would cost for nothing.
+  if (job.partSize !== null && bulkRate(job, ctx) < 1) return;
   const on = inOneZone(job, candidates(job, ctx, reserve));
   if (on.length === 0) return;
   const most =
@@ -90,10 +92,12 @@
   for (const part of job.unsaved) if (part.startsWait) parts--;
   let fits = 0;
   for (const c of on) fits += c.fits;
-  const rate =
-    job.spec.priority === "production"
-      ? Number.MAX_SAFE_INTEGER
-      : Math.floor(ctx.bulk.available(ctx.now));
-  const tasks = Math.max(0, Math.min(fits, rate, parts * job.partSize!));
+  const tasks = Math.max(0, Math.min(fits, bulkRate(job, ctx), parts * job.partSize!));
   return { tasks, machines: on.length };
 }
+
+/** Tasks of jobs in parts that may be placed now. */
+function bulkRate(job: LiveJob, ctx: PlanContext): number {
+  if (job.spec.priority === "production") return Number.MAX_SAFE_INTEGER;
+  return Math.floor(ctx.bulk.available(ctx.now));
+}
--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -74,7 +74,7 @@
     const piece = ending ? final(job) : changed(job, left, limits);
     if (piece === "nothing" || (piece === "no room" && job.recut !== null)) continue;
     if (piece === "no room") break;
-    const size = 400 + JSON.stringify(piece.changes).length;
+    const size = 400 + piece.bytes;
     if (bytes + size > maxBytes && w.changes.length > 0) break;
     bytes += size;
     w.counts[ending ? "ends" : job.startsWait ? "placements" : "progress"] += piece.changes.length;
@@ -98,7 +98,12 @@
 /** By how many priorities work within a guarantee goes before other work. */
 const GUARANTEE_STEPS = 2;
 
+/** Of a change, what stands around its value, beside the key. */
+const CHANGE_BYTES = 60;
+
 interface Piece {
+  /** What its changes take in the transaction, about. */
+  bytes: number;
   readonly conditions: Condition[];
   readonly changes: Change[];
   readonly parts: Part[];
@@ -125,7 +130,8 @@
   ];
   if (job.calledOff) changes.push({ op: "delete", key: KEY.cancel(id) });
   for (const p of stored(job)) changes.push({ op: "delete", key: KEY.part(id, p.n) });
-  return { conditions, changes, parts: [], closed: [] };
+  const bytes = changes.length * (CHANGE_BYTES + id.length) + sizeOf(value);
+  return { bytes, conditions, changes, parts: [], closed: [] };
 }
 
 /** What changed of a job: its own value, and its parts, as many as there is room for. */
@@ -136,6 +142,7 @@
 ): Piece | "no room" | "nothing" {
   const { id } = job.spec;
   const piece: Piece = {
+    bytes: 0,
     // Each time a part goes, this mark changes: a late copy of an older write cannot bring it back.
     conditions: [{ key: KEY.live(id), mark: job.main.mark }],
     changes: [],
@@ -163,8 +170,10 @@
   if (job.main.unsaved) {
     if (left < 1) return "no room";
     const value = jobValue(job);
-    if (!allows(sizeOf(value))) return "nothing";
+    const bytes = sizeOf(value);
+    if (!allows(bytes)) return "nothing";
     left--;
+    piece.bytes += bytes;
     piece.changes.unshift({ op: "put", key: KEY.live(id), value });
     piece.parts.push(job.main);
   }
@@ -172,16 +181,19 @@
   for (const p of open) {
     if (left < 1) break;
     const value = partValue(job, p);
-    if (!allows(sizeOf(value))) {
+    const bytes = sizeOf(value);
+    if (!allows(bytes)) {
       // What was cut goes whole or not at all.
       if (together?.has(p)) return "nothing";
       continue;
     }
     left--;
+    piece.bytes += bytes;
     piece.conditions.push({ key: KEY.part(id, p.n), mark: p.mark });
     piece.changes.push({ op: "put", key: KEY.part(id, p.n), value });
     piece.parts.push(p);
   }
+  piece.bytes += piece.changes.length * (CHANGE_BYTES + id.length);
   return piece.changes.length === 0 ? "nothing" : piece;
 }
 
--- a/tests/profile.ts
+++ b/tests/profile.ts
@@ -29,6 +29,7 @@
   readonly questions: number;
   readonly total: boolean;
   readonly program: string;
+  readonly flags: string;
 }
 
 type Profile = NonNullable<ProcessProfile["profile"]>;
@@ -149,7 +150,7 @@
     taskMs: () => options.taskSeconds * 1000,
     workers: options.machines,
     report: { everyS: REPORT_S, leaseS: LEASE_S },
-    nodeArguments: ["--import", HOOK],
+    nodeArguments: [...options.flags.split(" ").filter((f) => f !== ""), "--import", HOOK],
     environment: (i) => ({
       PROFILE_FILE: files[i]!,
       PROFILE_SAMPLED: options.total ? "no" : "yes",
@@ -189,6 +190,7 @@
   .option("--warm-up <n>", "seconds before that", Number, 25)
   .option("--task-seconds <n>", "run time of a task", Number, 40)
   .option("--program <file>", "main.js of another build, to compare with", PROGRAM)
+  .option("--flags <flags>", "of Node.js, separated by spaces", "")
   .option("--total", "without samples, which cost processor time themselves", false)
   .option("--questions <n>", "users' questions a second", Number, 20)
   .parse()
