--- a/src/api/reports.ts
+++ b/src/api/reports.ts
@@ -1,11 +1,6 @@
-/**
- * Workers' reports: most of what the leader does. They are read and answered on Node's own HTTP server, in front of
- * fastify, whose way to a handler and back cost more than the report itself (docs/processor-and-memory.md).
- */
-import type { IncomingMessage, ServerResponse } from "node:http";
+/** Workers' reports: from the bytes of one to the reply, whichever server they came through. */
 import type { Command, Report } from "../core/model.js";
 import { decode, encode } from "../wire/msgpack.js";
-import { PATH } from "../wire/names.js";
 import { decodeReport } from "../wire/report.js";
 import { encodeCommands, encodeRedirect } from "../wire/schema.js";
 
@@ -22,25 +17,28 @@
   elsewhere(): string | null;
 }
 
+/** The reply to a report. */
+export interface ReportReply {
+  readonly status: number;
+  readonly body: Buffer;
+  /** Seconds after which a refused worker may come back; it does so over a new connection. */
+  readonly retryAfterS: number | null;
+}
+
 export interface ReportOptions {
-  /** Largest body, in bytes. */
-  readonly bodyLimit: number;
   /** Seconds after which a refused worker may come back. */
   readonly retryAfterS: number;
   /** Told of faults of our own. */
   readonly fault: (error: Error) => void;
 }
 
-interface Encoded {
-  readonly key: unknown;
-  readonly body: string;
-}
-
-/** As Latin-1 text, which Node.js sends with the head in one write. */
-const textOf = (body: unknown): string => encode(body).toString("latin1");
+const replyOf = (status: number, body: unknown): ReportReply => ({
+  status,
+  body: encode(body),
+  retryAfterS: null,
+});
 
-function unpack(chunks: readonly Buffer[]): unknown {
-  const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+function unpack(bytes: Buffer): unknown {
   if (bytes.length === 0) return undefined;
   try {
     return decode(bytes);
@@ -50,86 +48,51 @@
 }
 
 export class Reports {
-  /** The last answer without commands and the last redirect, as most are the same. */
-  private quiet: Encoded = { key: null, body: "" };
-  private redirect: Encoded = { key: undefined, body: "" };
+  /** The last reply without commands and the last redirect, as most are the same. */
+  private quiet: { token: number; reply: ReportReply } | null = null;
+  private redirect: { leader: string | null; reply: ReportReply } | null = null;
 
   constructor(
     private readonly backend: ReportBackend,
     private readonly options: ReportOptions,
   ) {}
 
-  /** Is this request a report? */
-  takes(request: IncomingMessage): boolean {
-    return request.method === "POST" && request.url === PATH.report;
-  }
-
-  /** Reads the report and answers it. */
-  handle(request: IncomingMessage, response: ServerResponse): void {
-    request.on("error", () => {});
-    // After a takeover every worker comes here once: it is sent on before its report is read.
-    const leader = this.backend.elsewhere();
-    if (leader !== null) {
-      this.sendOn(response, leader);
-      return;
-    }
-    const chunks: Buffer[] = [];
-    let length = 0;
-    request.on("data", (chunk: Buffer) => {
-      length += chunk.length;
-      if (length <= this.options.bodyLimit) chunks.push(chunk);
-      else if (!response.headersSent) this.refuse(response, 400, "too large");
-    });
-    request.on("end", () => {
-      if (!response.headersSent) this.answer(unpack(chunks), response);
-    });
-  }
-
-  private answer(body: unknown, response: ServerResponse): void {
+  /** The reply to a report whose body has come in whole. */
+  reply(body: Buffer): ReportReply {
     try {
-      const report = decodeReport(body);
-      if (report === null) this.send(response, 400, textOf({ error: "malformed" }));
-      else this.answerReport(report, response);
+      // After a takeover every worker comes here once: it is sent on before its report is read.
+      const leader = this.backend.elsewhere();
+      if (leader !== null) return this.sendOn(leader);
+      const report = decodeReport(unpack(body));
+      return report === null ? replyOf(400, { error: "malformed" }) : this.replyTo(report);
     } catch (error) {
       this.options.fault(error as Error);
-      if (!response.headersSent) this.refuse(response, 503, "trouble");
+      return this.refusal("trouble");
     }
   }
 
-  private answerReport(report: Report, response: ServerResponse): void {
+  private replyTo(report: Report): ReportReply {
     const answer = this.backend.report(report);
-    if (answer.kind === "unavailable") this.refuse(response, 503, "unavailable");
-    else if (answer.kind === "elsewhere") this.sendOn(response, answer.leader);
-    else this.send(response, 200, this.answerText(answer.token, answer.commands));
-  }
-
-  private answerText(token: number, commands: readonly Command[]): string {
-    if (commands.length > 0) return textOf(encodeCommands(token, null, commands));
-    if (this.quiet.key !== token) {
-      this.quiet = { key: token, body: textOf(encodeCommands(token, null, [])) };
+    if (answer.kind === "unavailable") return this.refusal("unavailable");
+    if (answer.kind === "elsewhere") return this.sendOn(answer.leader);
+    const { token, commands } = answer;
+    if (commands.length > 0) return replyOf(200, encodeCommands(token, null, commands));
+    if (this.quiet?.token !== token) {
+      this.quiet = { token, reply: replyOf(200, encodeCommands(token, null, [])) };
     }
-    return this.quiet.body;
+    return this.quiet.reply;
   }
 
-  private sendOn(response: ServerResponse, leader: string | null): void {
-    if (this.redirect.key !== leader) {
-      this.redirect = { key: leader, body: textOf(encodeRedirect(leader)) };
+  private sendOn(leader: string | null): ReportReply {
+    if (this.redirect === null || this.redirect.leader !== leader) {
+      this.redirect = { leader, reply: replyOf(421, encodeRedirect(leader)) };
     }
-    this.send(response, 421, this.redirect.body);
+    return this.redirect.reply;
   }
 
   /** Refuses at once, and tells when to come back. */
-  private refuse(response: ServerResponse, status: number, error: string): void {
-    response.setHeader("retry-after", String(Math.max(1, Math.ceil(this.options.retryAfterS))));
-    response.setHeader("connection", "close");
-    this.send(response, status, textOf({ error }));
-  }
-
-  private send(response: ServerResponse, status: number, body: string): void {
-    response.writeHead(status, {
-      "content-type": "application/msgpack",
-      "content-length": body.length,
-    });
-    response.end(body, "latin1");
+  private refusal(error: string): ReportReply {
+    const retryAfterS = Math.max(1, Math.ceil(this.options.retryAfterS));
+    return { ...replyOf(503, { error }), retryAfterS };
   }
 }
--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -1,5 +1,6 @@
 /** What users, workers and the load balancer reach: HTTP by fastify, bodies in MessagePack. */
 import { createServer, type RequestListener, type Server } from "node:http";
+import type { Socket } from "node:net";
 import Fastify, { type FastifyInstance, type FastifyReply } from "fastify";
 import type { AdaptiveLimit } from "../core/limit.js";
 import type { JobSpec, JobView } from "../core/model.js";
@@ -9,6 +10,7 @@
 import type { IntakeResult } from "./intake.js";
 import { type ReportBackend, Reports } from "./reports.js";
 import type { SubmissionOutcome } from "./submissions.js";
+import { WorkerConnections } from "./worker-connections.js";
 
 const BODY_LIMIT = 64 * 1024;
 /** Those refused for being too many come back over so many seconds. */
@@ -71,30 +73,46 @@
 
 /** The server for users, workers and health checks; it listens to nothing yet. */
 export function buildServer(backend: ApiBackend, options: ServerOptions): FastifyInstance {
+  const reports = new Reports(backend, options);
+  let workers: WorkerConnections | null = null;
   const app = Fastify({
     logger: false,
     bodyLimit: BODY_LIMIT,
-    serverFactory: (handler) => serverOf(handler, backend, options),
+    serverFactory: (handler) => {
+      const front = serverOf(handler, reports, options.idleS);
+      workers = front.workers;
+      return front.server;
+    },
     forceCloseConnections: true,
     exposeHeadRoutes: false,
   });
   app.removeAllContentTypeParsers();
   app.addContentTypeParser("*", { parseAs: "buffer" }, (_req, body, done) => done(null, body));
   app.setNotFoundHandler((_req, reply) => send(reply, 404, { error: "no such path" }));
-  new Routes(app, backend, options).register();
+  app.addHook("preClose", async () => workers?.close());
+  new Routes(app, backend, reports, options).register();
   return app;
 }
 
-/** The HTTP server: reports are answered at once, all else goes to fastify. */
-function serverOf(handler: RequestListener, backend: ApiBackend, options: ServerOptions): Server {
-  const { retryAfterS, fault, idleS } = options;
-  const reports = new Reports(backend, { bodyLimit: BODY_LIMIT, retryAfterS, fault });
-  const server = createServer({ keepAliveTimeout: idleS * 1000 }, (request, response) => {
-    if (reports.takes(request)) reports.handle(request, response);
-    else handler(request, response);
-  });
+/** The HTTP server, with the workers' connections in front of it. */
+function serverOf(handler: RequestListener, reports: Reports, idleS: number): ServerWithWorkers {
+  const server = createServer({ keepAliveTimeout: idleS * 1000 }, handler);
   server.requestTimeout = 0;
-  return server;
+  const [attach] = server.listeners("connection") as ((socket: Socket) => void)[];
+  server.removeAllListeners("connection");
+  const workers = new WorkerConnections({
+    reply: (body) => reports.reply(body),
+    handOver: (socket) => attach!.call(server, socket),
+    bodyLimit: BODY_LIMIT,
+    idleS,
+  });
+  server.on("connection", (socket: Socket) => workers.accept(socket));
+  return { server, workers };
+}
+
+interface ServerWithWorkers {
+  readonly server: Server;
+  readonly workers: WorkerConnections;
 }
 
 class Routes {
@@ -104,6 +122,7 @@
   constructor(
     private readonly app: FastifyInstance,
     private readonly backend: ApiBackend,
+    private readonly reports: Reports,
     private readonly options: ServerOptions,
   ) {}
 
@@ -128,6 +147,8 @@
     app.post<{ Params: { id: string } }>(`${PATH.jobs}/:id/${PATH.cancel}`, (req, reply) =>
       this.cancel(req.params.id, reply),
     );
+    // For what does not come as workers send it.
+    app.post(PATH.report, (req, reply) => this.report(req.body, reply));
   }
 
   /** Refuses at once, and tells when to come back. */
@@ -227,4 +248,13 @@
     const stored = await this.backend.cancel(id);
     return stored === "unavailable" ? this.refuse(reply, 503, "unavailable") : null;
   }
+
+  private report(body: unknown, reply: FastifyReply): FastifyReply {
+    const answer = this.reports.reply(Buffer.isBuffer(body) ? body : Buffer.alloc(0));
+    if (answer.retryAfterS !== null) {
+      reply.header("retry-after", String(answer.retryAfterS)).header("connection", "close");
+    }
+    reply.code(answer.status).header("content-type", "application/msgpack");
+    return reply.send(answer.body);
+  }
 }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -41,6 +41,8 @@
 const ACCEPTS = 500;
 /** Other nodes that are enough for the users: one may end and two are left. */
 const OTHERS = 3;
+/** Processor time, in seconds, by which timers come back late when more comes in than can be done. */
+const OVERLOADED_S = 0.025;
 /** Times in a report interval at which the leader looks whether admission must be limited. */
 const ADMISSION_LOOKS = 8;
 
@@ -440,7 +442,9 @@
   // ---------------------------------------------------------------- loops
 
   private async tickLoop(): Promise<void> {
-    const every = this.settings.cluster.reportS / 20;
+    const { reportS, cpuShare } = this.settings.cluster;
+    const every = reportS / 20;
+    const behindWhenOverloaded = Math.max(reportS / 30, OVERLOADED_S / cpuShare);
     while (!this.stopped) {
       if (this.follower.loaded) this.leaseKeeper.contact(this.store.lastAnswer);
       if (this.records.lead !== null) this.standby.leadSeen(steady());
@@ -449,7 +453,7 @@
       await sleep(every);
       // A pause that took far longer than asked for: more comes in than can be done.
       this.behindS = 0.7 * this.behindS + 0.3 * (steady() - before - every);
-      this.overloaded = this.behindS > this.settings.cluster.reportS / 30;
+      this.overloaded = this.behindS > behindWhenOverloaded;
       const leading = this.leadership.current;
       if (leading !== null) leading.scheduler.overloaded = this.overloaded;
       const line = this.load.line(this.behindS);
--- a/src/core/planning-pass.ts
+++ b/src/core/planning-pass.ts
@@ -20,8 +20,9 @@
 const PASSES_WHILE_SETTLING = PASSES / 8;
 /** Passes in a report interval when nothing is known to have changed. */
 const IDLE_PASSES = 3;
-/** Tasks of large arrays that are placed in a second, for each core, and at once; a quarter when behind. */
-const BULK = 400;
+/** Tasks of large arrays that are placed in a second, for each core, and at once; a third when behind. */
+const BULK = 600;
+const BULK_WHEN_BEHIND = 1 / 3;
 const BULK_BURST_S = 4;
 /** Searches of one pass for tasks to stop, for each core, and at the most: each goes over all machines. */
 const SEARCHES_FOR_ROOM = 64;
@@ -57,7 +58,7 @@
 
   private setBulk(): void {
     const whole = BULK * this.context.settings.cpuShare;
-    const rate = this.dispatch.overloaded ? whole / 4 : whole;
+    const rate = this.dispatch.overloaded ? BULK_WHEN_BEHIND * whole : whole;
     this.bulk.setRate(rate, BULK_BURST_S * rate);
   }
 
