--- a/tests/helpers.ts
+++ b/tests/helpers.ts
@@ -156,6 +156,10 @@
       othersIn?: Map<string, number>;
       /** Limits of the state service, as the settings give them. */
       state?: Record<string, unknown>;
+      /** Part of a core that the node has. */
+      cpuShare?: number;
+      /** Lines on single tasks are written; they are unless said. */
+      logsTasks?: boolean;
     } = {},
   ) {
     this.records = options.records ?? new Records();
@@ -167,9 +171,13 @@
       [{ key: KEY.epoch, value: { n: epoch }, removed: false, mark: this.revision }],
       this.revision,
     );
-    const base = JSON.parse(settingsText()) as { settings: { state: object } };
-    const state = { ...base.settings.state, ...options.state };
-    const s = decodeSettings(settingsText({ settings: { ...base.settings, state } }));
+    const { settings } = JSON.parse(settingsText()) as {
+      settings: { state: object; resources: { cpu_share: number } };
+    };
+    const state = { ...settings.state, ...options.state };
+    const share = options.cpuShare ?? settings.resources.cpu_share;
+    const resources = { ...settings.resources, cpu_share: share };
+    const s = decodeSettings(settingsText({ settings: { ...settings, state, resources } }));
     if (!("settings" in s)) throw new Error("test settings");
     this.txnOps = s.settings.cluster.txnOps;
     this.scheduler = new Scheduler(
@@ -180,7 +188,7 @@
         idleReturnS: 1e9,
         graceS: options.graceS ?? 21,
         keepS: options.keepS ?? options.graceS ?? 21,
-        logsTasks: true,
+        logsTasks: options.logsTasks ?? true,
         othersIn: options.othersIn ?? new Map(),
       },
       epoch,
