--- a/src/controller.ts
+++ b/src/controller.ts
@@ -27,6 +27,7 @@
 import { MachineTypes } from "./machine-types.js";
 import { Mesh } from "./mesh/mesh.js";
 import { type NodeLoad, newNodeLoad } from "./node-load.js";
+import { PassLoop } from "./pass-loop.js";
 import { Follower } from "./state/follower.js";
 import { Store } from "./state/store.js";
 import { StateWrites, TXN_BYTES } from "./state-writes.js";
@@ -36,13 +37,10 @@
 import { workerSockets } from "./workers/sockets.js";
 
 const steady = (): number => performance.now() / 1000;
-const sleep = (s: number): Promise<void> => new Promise((r) => setTimeout(r, s * 1000));
 /** Connections that one core accepts in a second while there is other work. */
 const ACCEPTS = 500;
 /** Other nodes that are enough for the users: one may end and two are left. */
 const OTHERS = 3;
-/** Processor time, in seconds, by which timers come back late when more comes in than can be done. */
-const OVERLOADED_S = 0.025;
 /** Times in a report interval at which the leader looks whether admission must be limited. */
 const ADMISSION_LOOKS = 8;
 
@@ -67,14 +65,7 @@
   private readonly standby: StandbyResponder;
   private readonly effects: Effects;
   private readonly load: NodeLoad;
-  private tickQueued = false;
-  /** Steady time before which no further pass is made for what comes in. */
-  private tickAfter = Number.NEGATIVE_INFINITY;
-  private tickEnded = 0;
-  /** How much later than asked timers come back lately, in seconds; and whether that is much. */
-  private behindS = 0;
-  private overloaded = false;
-  private stopped = false;
+  private readonly passes: PassLoop;
   private readonly graceS: number;
   private readonly keepS: number;
   private readonly leaseKeeper: LeaseKeeper;
@@ -90,6 +81,7 @@
     this.keepS = operator.keepRatio * c.leaseS;
     this.leaseKeeper = new LeaseKeeper(c.leaseS, this.contactGapS(), this.keepS);
     this.load = newNodeLoad(c);
+    this.passes = this.newPassLoop();
     const answerMs = (c.reportS * 1000) / 3;
     this.store = new Store(settings.state, steady, answerMs);
     this.cloud = new Cloud(settings.cloud, c.reportS * 1000);
@@ -116,14 +108,14 @@
       this.records,
       (types) => {
         this.leadership.current?.scheduler.setTypes(types);
-        this.queueTick();
+        this.passes.queue();
       },
     );
     this.writes = new StateWrites(c, this.store, this.follower, this.records, {
       now: steady,
       log,
       perform: (outputs) => this.perform(outputs),
-      again: () => this.queueTick(),
+      again: () => this.passes.queue(),
     });
     const sentOnRate = (1.5 * ACCEPTS * c.cpuShare) / Math.max(1, c.nodes - 1);
     this.standby = new StandbyResponder(
@@ -163,7 +155,7 @@
       leads: (l) => this.leadership.current === l,
       back: (f) => {
         this.guarded(() => this.load.measure("commands", () => this.perform(f())));
-        this.queueTick();
+        this.passes.queue();
       },
     });
     this.ends = new Ends((id) => this.records.finals.has(id));
@@ -246,11 +238,11 @@
     void this.follower.run();
     await this.mesh.start();
     void this.types.run();
-    void this.tickLoop();
+    void this.passes.run();
   }
 
   async stop(): Promise<void> {
-    this.stopped = true;
+    this.passes.stop();
     this.types.stop();
     this.leadership.stop();
     this.follower.stop();
@@ -350,7 +342,7 @@
       const { commands, outputs } = scheduler.report(r, now);
       const token = term.epoch;
       this.perform(outputs);
-      this.queueTick();
+      this.passes.queue();
       return { kind: "answer", token, commands };
     }
     const graceS = this.standby.runsKept(r) ? this.keepS : this.graceS;
@@ -414,7 +406,7 @@
     this.ends.changed(touched === null ? null : touched.jobs);
     if (touched !== null) this.writes.seen(touched.asked);
     this.types.takeStored();
-    this.queueTick();
+    this.passes.queue();
   }
 
   private newScheduler(epoch: number, epochMark: number, now: number): Scheduler {
@@ -441,53 +433,31 @@
 
   // ---------------------------------------------------------------- loops
 
-  private async tickLoop(): Promise<void> {
-    const { reportS, cpuShare } = this.settings.cluster;
-    const every = reportS / 20;
-    const behindWhenOverloaded = Math.max(reportS / 30, OVERLOADED_S / cpuShare);
-    while (!this.stopped) {
-      if (this.follower.loaded) this.leaseKeeper.contact(this.store.lastAnswer);
-      if (this.records.lead !== null) this.standby.leadSeen(steady());
-      if (steady() >= this.tickAfter) this.tick();
-      const before = steady();
-      await sleep(every);
-      // A pause that took far longer than asked for: more comes in than can be done.
-      this.behindS = 0.7 * this.behindS + 0.3 * (steady() - before - every);
-      this.overloaded = this.behindS > behindWhenOverloaded;
-      const leading = this.leadership.current;
-      if (leading !== null) leading.scheduler.overloaded = this.overloaded;
-      const line = this.load.line(this.behindS);
-      if (line !== null) this.log.info({ leads: leading !== null, ...line }, "load");
-    }
-  }
-
-  private queueTick(): void {
-    if (this.tickQueued) return;
-    this.tickQueued = true;
-    setTimeout(
-      () => {
-        this.tickQueued = false;
-        this.tick();
+  private newPassLoop(): PassLoop {
+    return new PassLoop({
+      now: steady,
+      settings: this.settings.cluster,
+      look: () => {
+        if (this.follower.loaded) this.leaseKeeper.contact(this.store.lastAnswer);
+        if (this.records.lead !== null) this.standby.leadSeen(steady());
       },
-      1000 * Math.max(0, this.tickAfter - steady()),
-    );
+      pass: () => this.guarded(() => this.load.measure("passes", () => this.pass())),
+      took: (tookS, sinceS) => this.noteLongPass(tookS, sinceS),
+      behind: (behindS, overloaded) => {
+        const leading = this.leadership.current;
+        if (leading !== null) leading.scheduler.overloaded = overloaded;
+        const line = this.load.line(behindS);
+        if (line !== null) this.log.info({ leads: leading !== null, ...line }, "load");
+      },
+    });
   }
 
-  /** Passes are spaced, so that whatever they cost, as much time is left for answers. */
-  private tick(): void {
-    const began = steady();
-    this.guarded(() => this.load.measure("passes", () => this.tickOnce()));
-    const ended = steady();
-    if (ended - began > this.settings.cluster.reportS / 4) {
-      const jobs = this.records.live.size;
-      this.log.warn({ tookS: ended - began, sinceS: began - this.tickEnded, jobs }, "long pass");
-    }
-    this.tickEnded = ended;
-    const rest = (this.overloaded ? 8 : 2) * (ended - began);
-    this.tickAfter = ended + Math.max(this.settings.cluster.reportS / 100, rest);
+  private noteLongPass(tookS: number, sinceS: number): void {
+    if (tookS <= this.settings.cluster.reportS / 4) return;
+    this.log.warn({ tookS, sinceS, jobs: this.records.live.size }, "long pass");
   }
 
-  private tickOnce(): void {
+  private pass(): void {
     const now = steady();
     const leading = this.leadership.current;
     if (this.follower.loaded) this.admission?.tick();
