--- a/src/api/worker-connections.ts
+++ b/src/api/worker-connections.ts
@@ -51,6 +51,7 @@
     this.open.add(socket);
     socket.on("error", ignore);
     socket.setTimeout(1000 * this.options.idleS, () => socket.destroy());
+    socket.on("end", endToo);
     socket.once("close", () => this.open.delete(socket));
     socket.once("data", (first: Buffer) => {
       const begins = first.subarray(0, REPORT_BEGINS.length);
@@ -69,6 +70,7 @@
     this.open.delete(socket);
     socket.pause();
     socket.removeAllListeners("timeout");
+    socket.removeListener("end", endToo);
     socket.setTimeout(0);
     socket.unshift(read);
     this.options.handOver(socket);
@@ -90,6 +92,11 @@
 
 const ignore = (): void => {};
 
+/** The HTTP server leaves a socket open when its peer ends; a worker that was sent on would hold one until it idles out. */
+function endToo(this: Socket): void {
+  this.end();
+}
+
 /** One connection, a request at a time. */
 class WorkerConnection {
   private readonly parser: HTTPParserJS = new HTTPParser(HTTPParser.REQUEST);
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -127,6 +127,10 @@
     await until(`${count} answers`, () => found().length >= count);
     return found();
   }
+  /** Sends no more, and waits for the other side to do the same. */
+  finish(): void {
+    this.socket.end();
+  }
   end(): void {
     this.socket.destroy();
   }
@@ -185,6 +189,22 @@
   raw.end();
 });
 
+test("a connection that its worker ends is ended here too, and not only when it idles out", async () => {
+  for (const begins of [headOf(), "GET /none HTTP/1.1\r\nHost: x\r\n\r\n", ""]) {
+    const raw = new RawConnection();
+    raw.write(begins, begins === headOf() ? body : "");
+    if (begins !== "") await raw.statuses(1);
+    raw.finish();
+    await until("it is closed", () => raw.closed);
+  }
+  await until("no connection is left", async () => {
+    const left = await new Promise<number>((resolve) =>
+      app.server.getConnections((_, n) => resolve(n)),
+    );
+    return left <= 1;
+  });
+});
+
 test("a connection that is to be closed is closed with its answer, and one of no HTTP too", async () => {
   const raw = new RawConnection();
   raw.write(headOf(`Content-Length: ${body.length}\r\nConnection: close\r\n`), body);
