--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -52,7 +52,8 @@
   now: () => 0,
   retryAfterS: 1,
   maxWaitS: 1,
-  idleS: 10,
+  // Longer than any wait here: nothing is closed for being idle.
+  idleS: 600,
   took: () => {},
   fault: (e) => faults.push(e),
 });
