--- a/src/pass-loop.ts
+++ b/src/pass-loop.ts
@@ -8,16 +8,15 @@
 /** Rest after a pass, as a ratio to what it took; and while more comes in than can be done. */
 const REST = 2;
 const REST_WHEN_OVERLOADED = 8;
-/** Lateness of timers from which a node is overloaded: of a report interval, and in processor time (seconds). */
-const OVERLOADED_SHARE = 1 / 30;
-const OVERLOADED_S = 0.025;
+/** Lateness of timers from which a node is overloaded, as a ratio to the report interval. */
+const OVERLOADED = 1 / 30;
 /** Weight of the last measurement of lateness. */
 const WEIGHT = 0.3;
 
 export interface PassLoopOptions {
   /** Steady time, in seconds. */
   readonly now: () => number;
-  readonly settings: Pick<ClusterSettings, "reportS" | "cpuShare">;
+  readonly settings: Pick<ClusterSettings, "reportS">;
   /** Done at each look, before a pass that is due. */
   readonly look: () => void;
   readonly pass: () => void;
@@ -35,12 +34,8 @@
   private behindS = 0;
   private overloaded = false;
   private stopped = false;
-  private readonly overloadedS: number;
 
-  constructor(private readonly options: PassLoopOptions) {
-    const { reportS, cpuShare } = options.settings;
-    this.overloadedS = Math.max(OVERLOADED_SHARE * reportS, OVERLOADED_S / cpuShare);
-  }
+  constructor(private readonly options: PassLoopOptions) {}
 
   stop(): void {
     this.stopped = true;
@@ -57,7 +52,7 @@
       // A pause that took far longer than asked for: more comes in than can be done.
       const lateS = now() - before - everyS;
       this.behindS = (1 - WEIGHT) * this.behindS + WEIGHT * lateS;
-      this.overloaded = this.behindS > this.overloadedS;
+      this.overloaded = this.behindS > OVERLOADED * settings.reportS;
       behind(this.behindS, this.overloaded);
     }
   }
