--- a/src/leadership.ts
+++ b/src/leadership.ts
@@ -116,19 +116,27 @@
     }
   }
 
+  /**
+   * Sends a renewal four times a lease, whether the one before it was answered or not. (A slow leader waited for each
+   * answer, which came late or not in time, and its lease ended between two renewals.)
+   */
   private async renewLoop(term: Term): Promise<void> {
-    const { ttlS, keepS, now } = this.options;
     while (this.current?.term === term && !this.stopped) {
-      await sleep(ttlS / 4);
-      const sentAt = now();
-      const r = await this.store.extend(term.lease);
-      if (this.current?.term !== term) return;
-      if (r === "ok") term.renewed(sentAt);
-      else if (r === "ended") this.lose("the lease ended");
-      else if (!term.answering(now(), keepS)) this.lose("no renewal for too long");
+      await sleep(this.options.ttlS / 4);
+      if (this.current?.term === term && !this.stopped) void this.renew(term);
     }
   }
 
+  private async renew(term: Term): Promise<void> {
+    const { keepS, now } = this.options;
+    const sentAt = now();
+    const r = await this.store.extend(term.lease);
+    if (this.current?.term !== term) return;
+    if (r === "ok") term.renewed(sentAt);
+    else if (r === "ended") this.lose("the lease ended");
+    else if (!term.answering(now(), keepS)) this.lose("no renewal for too long");
+  }
+
   lose(why: string): void {
     if (this.current === null) return;
     const { term } = this.current;
--- /dev/null
+++ b/tests/leadership.test.ts
@@ -0,0 +1,86 @@
+/** How a leader keeps its term when the state service's answers come late. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { pino } from "pino";
+import { KEY, Records } from "../src/core/records.js";
+import { Leadership } from "../src/leadership.js";
+import type { Follower } from "../src/state/follower.js";
+import type { Store } from "../src/state/store.js";
+import type { Change } from "../src/wire/state.js";
+
+const TTL_S = 4;
+
+/** A node that took the term; renewals are answered when the test says so. */
+class Candidate {
+  now = 100;
+  readonly sentAt: number[] = [];
+  readonly waiting: ((answer: "ok" | "ended" | "failed") => void)[] = [];
+  readonly leadership: Leadership;
+
+  constructor() {
+    const records = new Records();
+    records.reset([], 0);
+    const store = {
+      grant: async () => 7,
+      txn: async (_: unknown, changes: readonly Change[]) => {
+        const events = changes.map((c) => ({
+          key: c.key,
+          value: c.op === "put" ? c.value : null,
+          removed: c.op === "delete",
+          mark: 1,
+        }));
+        records.apply(events, 1);
+        return { kind: "ok", revision: 1 };
+      },
+      extend: () => {
+        this.sentAt.push(this.now);
+        return new Promise((resolve) => this.waiting.push(resolve));
+      },
+      revoke: async () => {},
+    };
+    this.leadership = new Leadership(
+      store as unknown as Store,
+      { catchUp: async () => true } as unknown as Follower,
+      records,
+      {
+        member: "n0",
+        ttlS: TTL_S,
+        keepS: 60,
+        now: () => this.now,
+        log: pino({ level: "silent" }),
+        scheduler: () => ({ load: () => [] }) as never,
+        perform: () => {},
+        changed: () => {},
+      },
+    );
+    this.leadership.seek();
+    assert.equal(KEY.lead, "lead");
+  }
+}
+
+test("renewals go out four times a lease, though none is answered yet", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const candidate = new Candidate();
+  await nextTurn();
+  assert.notEqual(candidate.leadership.current, null);
+  for (let i = 0; i < 8; i++) {
+    candidate.now += TTL_S / 4;
+    t.mock.timers.tick((1000 * TTL_S) / 4);
+    await nextTurn();
+  }
+  assert.deepEqual(candidate.sentAt, [101, 102, 103, 104, 105, 106, 107, 108]);
+  // An answer counts from when its renewal was sent, and an older one takes nothing back.
+  const { term } = candidate.leadership.current!;
+  assert.equal(term.acting(104), false);
+  candidate.waiting[5]!("ok");
+  await nextTurn();
+  assert.equal(term.acting(106 + 0.89 * TTL_S), true);
+  candidate.waiting[0]!("ok");
+  await nextTurn();
+  assert.equal(term.acting(106 + 0.89 * TTL_S), true);
+  assert.equal(term.acting(106 + 0.9 * TTL_S), false);
+  candidate.waiting[1]!("ended");
+  await nextTurn();
+  assert.equal(candidate.leadership.current, null);
+});
