--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -12,15 +12,26 @@
 /** Whether the run has the disruption. TROUBLE=0 leaves it out. */
 export const TROUBLE = process.env.TROUBLE !== "0";
 
+/**
+ * Returns ports on which nothing listens. They lie below the range from which the operating system takes ports for
+ * outgoing connections, since a controller that is away for some seconds must find its ports free again. Runs at the same
+ * time begin at different ports.
+ */
 async function freePorts(count) {
-  const servers = [];
-  for (let i = 0; i < count; i++) {
+  const ports = [];
+  let port = 10_000 + Math.floor(Math.random() * 2000) * 10;
+  while (ports.length < count) {
     const server = net.createServer();
-    await new Promise((done, fail) => server.once("error", fail).listen(0, "127.0.0.1", done));
-    servers.push(server);
+    const isFree = await new Promise((done) => {
+      server.once("error", () => done(false));
+      server.listen(port, "127.0.0.1", () => done(true));
+    });
+    if (isFree) {
+      await new Promise((done) => server.close(done));
+      ports.push(port);
+    }
+    port++;
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
   return ports;
 }
 
