Take only the commands that fit into a message; starts beyond the 400th were lost

Cause: sendDueCommands took all due commands of a machine, which records each start as sent and in flight, and then cut the list to 400. The starts beyond that were in no request, so no outcome arrived, they were never repeated, and the reconciliation passed over them.

Mended: takeCommandsFor stops at the limit. What does not fit is not recorded as sent, stays due, and goes out after the request before it has its outcome. The same limit now holds for answers to heartbeats, which had none. Stops of orphaned tasks stay listed until they are in a message; the list has a module of its own, and is dropped with its machine.

--- a/src/core/capacity/machine-pool.ts
+++ b/src/core/capacity/machine-pool.ts
@@ -276,7 +276,7 @@
       this.dispatcher.handleTaskLost(placement, why, now);
     }
     this.context.cluster.machines.delete(name);
-    this.dispatcher.machinesAwaitingDispatch.delete(machine);
+    this.dispatcher.forgetMachine(machine);
     this.recordShards.remove(name, machine.isPersisted);
     this.context.cycleRequested = true;
   }
--- a/src/core/dispatch/command-dispatcher.ts
+++ b/src/core/dispatch/command-dispatcher.ts
@@ -5,12 +5,17 @@
 import type { ExitedTask, Machine } from "../machines/machine.js";
 import type { WorkerCommand } from "../model/workers.js";
 import { TokenBucket } from "../overload/token-bucket.js";
+import { type OrphanedTask, OrphanedTasks } from "./orphaned-tasks.js";
 import type { Placement, StopRequest } from "./placement.js";
 import { isMachineAllowed } from "./placement-constraints.js";
 
 /** Rate of the probe budget: probes per second for each CPU core of this node. */
 const PROBES_PER_CORE_S = 40;
-const MAXIMUM_COMMANDS_PER_REQUEST = 400;
+/**
+ * Maximum number of commands in a direct request, and also in the response to a heartbeat. It keeps their bodies below
+ * the protocol's limit of 64 KiB.
+ */
+export const MAXIMUM_COMMANDS_PER_MESSAGE = 400;
 /** Maximum number of concurrent probes, and also of concurrent token-only requests, while the node is overloaded. */
 const CONCURRENT_REQUESTS_OVERLOADED = 4;
 /** Lower bound of each of the two maximums while the node is not overloaded. */
@@ -18,14 +23,6 @@
 /** While the node is not overloaded, each of the two maximums is one for every 50 of the node's sockets. */
 const SOCKETS_PER_CONCURRENT_REQUEST = 50;
 
-/** A task that a worker still runs although its job is terminal. */
-export interface OrphanedTask {
-  readonly machine: string;
-  readonly job: string;
-  readonly task: number;
-  readonly attempt: number;
-}
-
 /** Sends start, stop and forget commands to workers, with at most one direct request in flight per machine. */
 export class CommandDispatcher {
   /** Machines to which commands may have to be sent. `Scheduler.tick` skips all others. */
@@ -38,10 +35,9 @@
    * Rate limit of probes to machines whose heartbeat is not overdue yet, and to machines that may have just booted.
    */
   readonly probeBudget: TokenBucket;
-  /** Orphaned tasks to be stopped without time to checkpoint. */
-  orphanedTasks: OrphanedTask[] = [];
   /** Set by the node while it is overloaded. Probes and token-only requests are then limited more strictly. */
   isOverloaded = false;
+  private readonly orphanedTasks = new OrphanedTasks();
 
   constructor(private readonly context: LeaderContext) {
     const rate = PROBES_PER_CORE_S * context.settings.cpuShare;
@@ -115,20 +111,38 @@
     if (job.spec.kind === "gang") this.restartGang(job, "a gang task was lost");
   }
 
+  /** Stops a task whose job is terminal, without time to checkpoint. */
+  stopOrphanedTask(orphan: OrphanedTask): void {
+    this.orphanedTasks.add(orphan);
+  }
+
+  /** Drops the stops that are due on a machine that has terminated. */
+  forgetMachine(machine: Machine): void {
+    this.machinesAwaitingDispatch.delete(machine);
+    this.orphanedTasks.deleteMachine(machine.name);
+  }
+
   /**
-   * Returns the commands to send to a machine now, and records them as sent. Start commands are included only in
-   * direct requests (`withStarts`), because their outcome is reported back, unlike that of heartbeat responses.
+   * Returns the commands to send to a machine now, and records them as sent. At most `MAXIMUM_COMMANDS_PER_MESSAGE`
+   * are taken; the others remain due. A command that was recorded as sent but left out of the message would never get
+   * an outcome: 200 of 600 starts for one machine were lost that way, and their tasks never ran. Start commands are
+   * included only in direct requests (`withStarts`), because their outcome is reported back, unlike that of heartbeat
+   * responses.
    */
   takeCommandsFor(machine: Machine, now: number, withStarts: boolean): WorkerCommand[] {
     const commands: WorkerCommand[] = [];
     for (const placement of [...machine.placements.values()]) {
+      if (commands.length >= MAXIMUM_COMMANDS_PER_MESSAGE) return commands;
       const { stop } = placement;
       let command: WorkerCommand | null = null;
       if (stop !== null) command = this.takeDueStop(placement, stop, now);
       else if (withStarts) command = this.takeDueStart(placement, now);
       if (command !== null) commands.push(command);
     }
-    this.addOrphanedTaskStops(machine, commands);
+    const maximumStops = MAXIMUM_COMMANDS_PER_MESSAGE - commands.length;
+    for (const { job, task, attempt } of this.orphanedTasks.take(machine.name, maximumStops)) {
+      commands.push({ op: "stop", job, task, attempt, graceS: 0 });
+    }
     this.addForgets(machine, commands);
     return commands;
   }
@@ -149,11 +163,8 @@
       return;
     }
     if (mayNeedCommands(machine)) this.machinesAwaitingDispatch.add(machine);
-    else if (this.orphanedTasks.length === 0) return;
-    const dueCommands = this.takeCommandsFor(machine, now, true).slice(
-      0,
-      MAXIMUM_COMMANDS_PER_REQUEST,
-    );
+    else if (!this.orphanedTasks.has(machine.name)) return;
+    const dueCommands = this.takeCommandsFor(machine, now, true);
     if (dueCommands.every((command) => command.op === "forget")) return;
     this.send(machine, machine.incarnation, dueCommands);
   }
@@ -212,16 +223,9 @@
     return { op: "start", ...commandTarget(placement) };
   }
 
-  private addOrphanedTaskStops(machine: Machine, commands: WorkerCommand[]): void {
-    if (this.orphanedTasks.length === 0) return;
-    for (const { machine: name, job, task, attempt } of this.orphanedTasks) {
-      if (name === machine.name) commands.push({ op: "stop", job, task, attempt, graceS: 0 });
-    }
-    this.orphanedTasks = this.orphanedTasks.filter((orphan) => orphan.machine !== machine.name);
-  }
-
   private addForgets(machine: Machine, commands: WorkerCommand[]): void {
     for (const [key, exited] of machine.exitedTasks) {
+      if (commands.length >= MAXIMUM_COMMANDS_PER_MESSAGE) return;
       if (!this.mayForget(machine, key, exited)) continue;
       const { job, task, attempt } = exited;
       commands.push({ op: "forget", job, task, attempt });
--- a/src/core/dispatch/task-reconciler.ts
+++ b/src/core/dispatch/task-reconciler.ts
@@ -188,7 +188,7 @@
     if (job === undefined) {
       // The job is terminal, so there is no job to which the task's resources can be charged. The task is stopped
       // without time to checkpoint.
-      this.dispatcher.orphanedTasks.push({ machine: machine.name, job: id, task, attempt });
+      this.dispatcher.stopOrphanedTask({ machine: machine.name, job: id, task, attempt });
       return;
     }
     const placement = new Placement(job, task, attempt, machine, machine.incarnation, 0, now);
