End the reservation of GPU machines for a job that is left waiting beside them

Cause: free GPU machines are reserved for GPU jobs, two at least, as long as a class with GPUs is known. Towards arrays and gangs without GPUs the reservation had no end; services had one of their own.

Mended: a job none of whose waiting tasks was placed for 30 s (an eighth of the start-latency bound), although its team's quota allows one, may use reserved machines. Each placement begins a new wait.

--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -52,6 +52,11 @@
   reservedZone: string | null = null;
   /** Time since which tasks of the job have waited for capacity; null: none waits. */
   waitingSince: number | null = null;
+  /**
+   * Time since which tasks have waited for capacity, within the team's quota, without any of them being placed; null:
+   * the last cycle placed one, or none waits.
+   */
+  stalledSince: number | null = null;
   private parsedResiduals: Expression[] | null = null;
   /** Cached `isBlockedOnDependencies`, cleared when the residuals change; null: not computed. */
   private blockedCache: boolean | null = null;
@@ -94,6 +99,26 @@
     return this.blockedCache;
   }
 
+  /**
+   * Updates the times since which tasks have waited, after the placement step of a cycle. `isStalled`: the step placed
+   * no task of the job, although its team's quota allows one.
+   */
+  recordPlacementStep(isStalled: boolean, now: number): void {
+    if (this.pendingCount === 0) {
+      this.recordNothingWaits();
+      return;
+    }
+    this.waitingSince ??= now;
+    if (isStalled) this.stalledSince ??= now;
+    else this.stalledSince = null;
+  }
+
+  /** Records that no task of the job waits for capacity. */
+  recordNothingWaits(): void {
+    this.waitingSince = null;
+    this.stalledSince = null;
+  }
+
   /** Whether the job has no dependencies, or all of them are known to be done. */
   get isReady(): boolean {
     return this.spec.after === undefined || this.readyAtMs !== null;
--- a/src/core/planning/candidates.ts
+++ b/src/core/planning/candidates.ts
@@ -3,6 +3,7 @@
 import { isMachineAllowed } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
 import { type Machine, taskSlots } from "../machines/machine.js";
+import { START_LATENCY_BOUND_S } from "../model/constants.js";
 import type { JobSpec } from "../model/jobs.js";
 import type { GpuReservation, PlanningContext } from "./context.js";
 import { freeSlotsOn, imagePullS, isCapacityOpenTo } from "./eligibility.js";
@@ -32,6 +33,13 @@
 /** Heartbeat intervals of waiting after which a service is placed even where its tasks block GPU jobs. */
 const GPU_BLOCKING_AFTER_HEARTBEAT_INTERVALS = 2;
 
+/**
+ * Share of `START_LATENCY_BOUND_S` after which capacity reserved for GPU jobs is open to a job none of whose waiting
+ * tasks could be placed. No job may be left waiting for 90 s beside a machine with room: the rest of that time is
+ * needed to find out that a machine failed, and to pull the image.
+ */
+const RESERVATION_BOUND_SHARE = 1 / 8;
+
 /** A machine with free capacity for tasks of a job. */
 export interface Candidate {
   readonly machine: Machine;
@@ -51,6 +59,7 @@
 export function findCandidates(job: ActiveJob, context: PlanningContext): Candidate[] {
   const { spec } = job;
   const { gpuReservation } = context;
+  const isReservedCapacityOpen = isStalledPastReservation(job, context);
   const candidates: Candidate[] = [];
   for (const machine of context.snapshot.withFreeCapacity) {
     const freeSlots = freeSlotsOn(spec, machine);
@@ -58,7 +67,9 @@
     if (!isMachineAllowed(spec, machine) || job.zones.capacityIn(machine.zone) === 0) continue;
     if (job.failures.avoids(machine.name, context.now)) continue;
     if (mustAvoidBlockingGpuJobs(job, machine, context)) continue;
-    const slots = Math.min(freeSlots, slotsBesideGpuJobs(spec, machine, gpuReservation));
+    const slots = isReservedCapacityOpen
+      ? freeSlots
+      : Math.min(freeSlots, slotsBesideGpuJobs(spec, machine, gpuReservation));
     if (slots <= 0) continue;
     const costS = placementCostS(machine, spec, gpuReservation);
     candidates.push({ machine, freeSlots: slots, costS });
@@ -66,6 +77,15 @@
   return candidates.sort((a, b) => a.costS - b.costS || (a.machine.name < b.machine.name ? -1 : 1));
 }
 
+/**
+ * Whether tasks of the job have waited for so long without a placement that machines reserved for GPU jobs are open
+ * to it. Without this end of the reservation, an array waited for as long as two empty GPU machines were kept for a
+ * class of which no job was left.
+ */
+const isStalledPastReservation = (job: ActiveJob, context: PlanningContext): boolean =>
+  job.stalledSince !== null &&
+  context.now - job.stalledSince > RESERVATION_BOUND_SHARE * START_LATENCY_BOUND_S;
+
 /**
  * Whether the job is a service that must not be placed on this machine yet, because its tasks would block GPU jobs
  * there. Service tasks run for a long time, so a service first waits for free capacity elsewhere (`mayBlockGpuJobs`).
--- a/src/core/planning/planner.ts
+++ b/src/core/planning/planner.ts
@@ -31,12 +31,12 @@
   });
   for (const job of queue) {
     if (!acceptStart(job)) continue;
+    const placedBefore = job.placementCount;
     const waitsForImage = placeJob(job, context, reservedZones);
-    if (job.pendingCount === 0) {
-      job.waitingSince = null;
-      continue;
-    }
-    job.waitingSince ??= context.now;
+    const hasPlacedTasks = job.placementCount > placedBefore;
+    if (hasPlacedTasks) recordStart(job, context);
+    job.recordPlacementStep(!hasPlacedTasks && isWithinQuota(job, context), context.now);
+    if (job.pendingCount === 0) continue;
     // A job that fails on every machine, or waits only for its image, triggers no preemption and no scale-out.
     if (!job.isSuspect && !waitsForImage) lackingCapacity.push(job);
   }
@@ -48,7 +48,6 @@
  * waits for machines that hold its image.
  */
 function placeJob(job: ActiveJob, context: PlanningContext, reservedZones: Set<string>): boolean {
-  const placedBefore = job.placementCount;
   let waitsForImage = false;
   if (job.spec.kind === "gang") {
     const outcome = placeGang(job, context);
@@ -59,10 +58,14 @@
   } else {
     placeIndependentTasks(job, context);
   }
-  if (job.placementCount > placedBefore) recordStart(job, context);
   return waitsForImage;
 }
 
+/** Whether the team's quota allows another task of the job, or the whole gang. */
+function isWithinQuota({ spec }: ActiveJob, { cluster }: PlanningContext): boolean {
+  return cluster.quotaSlots(spec) >= (spec.kind === "gang" ? spec.tasks : 1);
+}
+
 /** Counts a timely start for the fairness between gang sizes, and starts the cooldown if the job was starving. */
 function recordStart(job: ActiveJob, context: PlanningContext): void {
   if (waitedShareOfStartBound(job, context) < 1) {
--- a/src/core/planning/queue-order.ts
+++ b/src/core/planning/queue-order.ts
@@ -40,7 +40,7 @@
     // Jobs blocked on dependencies are not queued, so they neither reserve capacity nor trigger a scale-out.
     if (job.isBlockedOnDependencies) continue;
     if (job.pendingCount > 0) waiting.push(job);
-    else job.waitingSince = null;
+    else job.recordNothingWaits();
   }
   return waiting;
 }
