Hold no machines for a gang that service tasks keep from ever starting

Service tasks do not go, so the hold had no end, and any other job was left waiting beside the held machines.

Mended: a machine counts for the gang with what its service tasks leave, unless they may be preempted for the gang.

--- a/src/core/planning/context.ts
+++ b/src/core/planning/context.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Cluster } from "../cluster.js";
+import type { Placement } from "../dispatch/placement.js";
 import type { Machine } from "../machines/machine.js";
 import type { JobSpec } from "../model/jobs.js";
 import type { ClusterSettings } from "../model/settings.js";
@@ -45,6 +46,8 @@
   readonly withImage: ReadonlyMap<string, readonly Machine[]>;
   /** Number of usable GPU machines, with or without free capacity, that have pulled an image, by the image's name. */
   readonly gpuMachineCountByImage: ReadonlyMap<string, number>;
+  /** The service tasks on usable machines that are not being stopped. They run until their job is cancelled. */
+  readonly serviceTasks: ReadonlyMap<Machine, readonly Placement[]>;
 }
 
 /** The capacity reserved for GPU jobs, as of the start of a cycle. */
--- a/src/core/planning/gang-capacity.ts
+++ b/src/core/planning/gang-capacity.ts
@@ -2,15 +2,10 @@
 
 import { isMachineAllowed } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
-import type { Machine } from "../machines/machine.js";
+import { type Machine, taskSlots } from "../machines/machine.js";
 import type { PlanningContext } from "./context.js";
-import {
-  freeSlotsOn,
-  imagePullS,
-  isCapacityOpenTo,
-  machinesThatFit,
-  slotsOnEmptyMachine,
-} from "./eligibility.js";
+import { freeSlotsOn, imagePullS, isCapacityOpenTo, machinesThatFit } from "./eligibility.js";
+import { mayPreempt } from "./preemption.js";
 
 /** Bonus for the zone reserved in the last cycle, as a share of the gang's tasks, so that the zone rarely changes. */
 const RESERVED_ZONE_BONUS = 1 / 4;
@@ -21,7 +16,7 @@
 /** Capacity for tasks of a gang in one zone, or in all zones if the gang need not be in one. */
 interface ZoneCapacity {
   freeSlots: number;
-  /** Slots that the zone's machines would have if they were empty. */
+  /** Slots that the zone's machines can have: those that are free, and those that other tasks will leave. */
   totalSlots: number;
   /** Slots on machines that are being freed for the gang by preemption. */
   preemptedSlots: number;
@@ -81,7 +76,7 @@
     if (reservedZones.has(zone)) continue;
     const capacity = capacities.get(zone) ?? emptyCapacity();
     capacities.set(zone, capacity);
-    const totalSlots = slotsOnEmptyMachine(spec, machine);
+    const totalSlots = attainableSlots(job, machine, context);
     const freeSlots = freeSlotsOn(spec, machine);
     const isBeingFreed = machine.reservation?.job === job;
     capacity.totalSlots += spec.spread ? occupancy.reserveIn(machine.zone, totalSlots) : totalSlots;
@@ -92,6 +87,23 @@
   return capacities;
 }
 
+/**
+ * Number of the gang's tasks that fit on the machine once all other tasks there have ended, except service tasks that
+ * may not be preempted for the gang: these have no end. Capacity was held without end for a gang that waited for a
+ * machine with such a task, and an array was left waiting beside the held machines.
+ */
+function attainableSlots(job: ActiveJob, machine: Machine, context: PlanningContext): number {
+  let { cpus, gpus, memoryGb } = machine.type;
+  for (const placement of context.snapshot.serviceTasks.get(machine) ?? []) {
+    if (mayPreempt(job, placement, context)) continue;
+    const { spec } = placement.job;
+    cpus -= spec.cpus;
+    gpus -= spec.gpus;
+    memoryGb -= spec.memoryGb;
+  }
+  return taskSlots(job.spec, cpus, gpus, memoryGb);
+}
+
 const emptyCapacity = (): ZoneCapacity => ({
   freeSlots: 0,
   totalSlots: 0,
@@ -134,7 +146,7 @@
   let missingSlots = spec.tasks;
   for (const machine of machines) {
     if (missingSlots <= 0) break;
-    const slots = occupancy.reserveIn(machine.zone, slotsOnEmptyMachine(spec, machine));
+    const slots = occupancy.reserveIn(machine.zone, attainableSlots(job, machine, context));
     if (slots === 0) continue;
     missingSlots -= slots;
     if (machine.reservation === null || machine.reservation.job !== job) {
--- a/src/core/planning/preemption.ts
+++ b/src/core/planning/preemption.ts
@@ -125,7 +125,11 @@
 }
 
 /** Whether this placement may be preempted for the job. */
-function mayPreempt(job: ActiveJob, placement: Placement, context: PlanningContext): boolean {
+export function mayPreempt(
+  job: ActiveJob,
+  placement: Placement,
+  context: PlanningContext,
+): boolean {
   const victim = placement.job;
   if (placement.stop !== null || job.precedence >= victim.precedence) return false;
   // CPUs are available on other machines too, but GPUs are not. Without this rule, low-priority jobs within their
