Pace the full read of the state service, and repeat a failed page from the last key

It had no pace, and a refused page ended it; the next attempt began at the first page. Three nodes at once used up the burst of the rate limit and were refused again in every attempt.

Mended: src/state/full-read.ts. A new log line, "state loaded", has the figures. The admission subcommand reads the same way.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -6,6 +6,8 @@
 import { configurationReport } from "./config/configuration-report.js";
 import { decodeOperatorSettings, type OperatorSettings } from "./config/operator.js";
 import { Controller } from "./node/controller.js";
+import { nodeTiming } from "./node/node-timing.js";
+import { readAllKeys } from "./state/full-read.js";
 import { KeyValueClient } from "./state/key-value-client.js";
 import { steadyNowS } from "./time/steady-clock.js";
 import { decodeSettings, type NodeSettings } from "./wire/settings.js";
@@ -15,6 +17,9 @@
 const EXIT_BAD_SETTINGS = 2;
 /** Timeout of requests to the state service. */
 const STATE_TIMEOUT_MS = 5000;
+/** Failed requests to the state service in a row after which a subcommand gives up, and the delay after each. */
+const MAXIMUM_STATE_FAILURES = 3;
+const STATE_RETRY_DELAY_S = 1;
 
 /** Options of the program and of all subcommands. */
 interface Flags {
@@ -76,9 +81,17 @@
 }
 
 async function printAdmissionStatus(flags: Flags, asJson: boolean): Promise<void> {
-  const address = loadConfiguration(flags).settings.stateServiceAddress;
+  const { settings, operator } = loadConfiguration(flags);
+  const address = settings.stateServiceAddress;
+  const { minimumReadIntervalS } = nodeTiming(settings.cluster, operator);
   const client = new KeyValueClient(address, steadyNowS, STATE_TIMEOUT_MS);
-  const stored = await client.readAll();
+  const stored = await readAllKeys({
+    readPage: (lastKey) => client.readPage(lastKey),
+    now: steadyNowS,
+    pageIntervalS: minimumReadIntervalS,
+    retryDelayS: STATE_RETRY_DELAY_S,
+    mayContinue: (failuresInRow) => failuresInRow < MAXIMUM_STATE_FAILURES,
+  });
   client.close();
   if (stored.kind === "failed") exitWithErrors([`${address}: the state service does not answer`]);
   const replica = new AdmissionReplica();
--- a/src/node/node-composition.ts
+++ b/src/node/node-composition.ts
@@ -90,6 +90,7 @@
       minimumIntervalS: timing.minimumReadIntervalS,
       blockMs: timing.requestTimeoutMs,
       onChange: (change) => this.handleReplicaChange(change),
+      onLoaded: (statistics) => this.log.info(statistics, "state loaded"),
       observer: this.admission,
     });
   }
--- /dev/null
+++ b/src/state/full-read.ts
@@ -0,0 +1,118 @@
+/**
+ * Reads all keys of the state service, page by page and at a limited rate.
+ *
+ * A page that is refused, cut off or late is requested again from the last key that was read. When a failed page ended
+ * the read, three controllers that started together with 114,500 keys used up the rate of the state service, began
+ * again at the first page, and never loaded their replicas.
+ */
+import type { KeyValueItem } from "../core/state/key-value.js";
+import { sleepSeconds } from "../time/sleep.js";
+import type { KeyPage } from "../wire/key-value.js";
+
+/** Result of a request for one page of keys. */
+export type PageResult =
+  | { readonly kind: "ok"; readonly page: KeyPage }
+  /** `retryAfterS`: seconds that the state service asked to wait before the next request; 0 if it did not ask. */
+  | { readonly kind: "failed"; readonly retryAfterS: number };
+
+/** Source and pace of a full read. */
+export interface FullReadOptions {
+  /** Requests the keys after `lastKey`, in their order; null: from the first key on. */
+  readonly readPage: (lastKey: string | null) => Promise<PageResult>;
+  /** Current monotonic time, in seconds. */
+  readonly now: () => number;
+  /** Shortest time between two requests, in seconds. */
+  readonly pageIntervalS: number;
+  /** Delay after a failed request, in seconds, unless the state service asks for a longer one. */
+  readonly retryDelayS: number;
+  /** Whether to request the next page, given the number of requests that have failed in a row. */
+  readonly mayContinue: (failuresInRow: number) => boolean;
+}
+
+/** Size and duration of a full read. */
+export interface FullReadStatistics {
+  readonly keys: number;
+  readonly pages: number;
+  /** Number of requests that were refused, or whose answer was cut off or late. */
+  readonly failedRequests: number;
+  readonly seconds: number;
+}
+
+/** Result of a full read. */
+export type FullReadResult =
+  | {
+      readonly kind: "ok";
+      readonly items: readonly KeyValueItem[];
+      /** Revision of the state service when the first page was read. Later pages may contain newer values. */
+      readonly revision: number;
+      readonly statistics: FullReadStatistics;
+    }
+  | { readonly kind: "failed" };
+
+/** Reads all keys. The result is `failed` only if `mayContinue` ended the read. */
+export async function readAllKeys(options: FullReadOptions): Promise<FullReadResult> {
+  const read = new FullRead(options);
+  return await read.run();
+}
+
+/** The progress of one full read. */
+class FullRead {
+  private readonly items: KeyValueItem[] = [];
+  /** Revision of the first page; null before it was read. */
+  private revision: number | null = null;
+  private pages = 0;
+  private failedRequests = 0;
+  private failuresInRow = 0;
+  private readonly startedAt: number;
+
+  constructor(private readonly options: FullReadOptions) {
+    this.startedAt = options.now();
+  }
+
+  async run(): Promise<FullReadResult> {
+    const { now, pageIntervalS, mayContinue, readPage } = this.options;
+    while (mayContinue(this.failuresInRow)) {
+      const requestedAt = now();
+      const result = await readPage(this.items.at(-1)?.key ?? null);
+      if (result.kind === "failed") {
+        await this.waitAfterFailure(result.retryAfterS);
+        continue;
+      }
+      const isLastPage = this.addPage(result.page);
+      if (isLastPage) return this.complete(result.page.revision);
+      await sleepUntilElapsed(pageIntervalS, requestedAt, now);
+    }
+    return { kind: "failed" };
+  }
+
+  private async waitAfterFailure(retryAfterS: number): Promise<void> {
+    this.failedRequests++;
+    this.failuresInRow++;
+    await sleepSeconds(Math.max(this.options.retryDelayS, retryAfterS));
+  }
+
+  /** Adds a page, and returns whether it is the last one. */
+  private addPage({ items, more, revision }: KeyPage): boolean {
+    this.failuresInRow = 0;
+    this.pages++;
+    this.revision ??= revision;
+    for (const item of items) this.items.push(item);
+    return !more || items.length === 0;
+  }
+
+  private complete(lastRevision: number): FullReadResult {
+    const { items, pages, failedRequests } = this;
+    const seconds = this.options.now() - this.startedAt;
+    const statistics = { keys: items.length, pages, failedRequests, seconds };
+    return { kind: "ok", items, revision: this.revision ?? lastRevision, statistics };
+  }
+}
+
+async function sleepUntilElapsed(
+  seconds: number,
+  startedAt: number,
+  now: () => number,
+): Promise<void> {
+  const remainingS = seconds - (now() - startedAt);
+  if (remainingS > 0) await sleepSeconds(remainingS);
+}
--- a/src/state/key-value-client.ts
+++ b/src/state/key-value-client.ts
@@ -4,7 +4,7 @@
  * A failed request is returned as a result; a method rejects only if a response body is not valid MessagePack.
  * Results distinguish requests that were certainly not executed from those that may have been executed.
  */
-import type { Change, ChangeEvent, KeyValueItem, Precondition } from "../core/state/key-value.js";
+import type { Change, ChangeEvent, Precondition } from "../core/state/key-value.js";
 import {
   HttpConnectionPool,
   type HttpResponse,
@@ -16,9 +16,11 @@
   decodeTransactionResult,
   decodeWatchResponse,
   encodeTransaction,
+  type KeyPage,
 } from "../wire/key-value.js";
 import { decode, encode } from "../wire/msgpack.js";
 import { PATH } from "../wire/names.js";
+import type { PageResult } from "./full-read.js";
 
 /** Maximum number of connections for requests that are answered immediately, and for blocking watches. */
 const REQUEST_CONNECTIONS = 32;
@@ -26,6 +28,8 @@
 const KEYS_PER_PAGE = 1000;
 /** Timeout of one page of a full read, as a multiple of the request timeout. */
 const PAGE_TIMEOUT_FACTOR = 3;
+/** Longest `Retry-After` that is observed, in seconds. A later answer must not be able to stop a full read. */
+const MAXIMUM_RETRY_AFTER_S = 30;
 
 /** Result of a transaction. */
 export type TransactionResult =
@@ -47,16 +51,6 @@
   | { readonly kind: "compacted" }
   | { readonly kind: "failed" };
 
-/** Result of a full read. */
-export type ReadAllResult =
-  | {
-      readonly kind: "ok";
-      readonly items: readonly KeyValueItem[];
-      /** Revision of the state service when the first page was read. */
-      readonly revision: number;
-    }
-  | { readonly kind: "failed" };
-
 /** Result of a request for a lease. */
 export type LeaseGrant =
   | { readonly kind: "ok"; readonly leaseId: number }
@@ -125,19 +119,19 @@
     return { kind: "ok", revision: decoded.revision };
   }
 
-  /** Reads all keys, page by page. */
-  async readAll(): Promise<ReadAllResult> {
-    const items: KeyValueItem[] = [];
-    let revision = -1;
-    let lastKey: string | null = null;
-    for (;;) {
-      const page = await this.readPage(lastKey);
-      if (page === null) return FAILED;
-      if (revision < 0) revision = page.revision;
-      for (const item of page.items) items.push(item);
-      if (!page.more || page.items.length === 0) return { kind: "ok", items, revision };
-      lastKey = page.items[page.items.length - 1]!.key;
-    }
+  /** Reads the page of keys after `lastKey`, in the order of the keys; null: the first page. Never rejects. */
+  async readPage(lastKey: string | null): Promise<PageResult> {
+    const since = lastKey === null ? "" : `&since=${lastKey}`;
+    const result = await this.call({
+      method: "GET",
+      path: `${PATH.keyValues}?prefix=${since}&most=${KEYS_PER_PAGE}`,
+      timeoutMs: PAGE_TIMEOUT_FACTOR * this.timeoutMs,
+    });
+    if (result.kind === "no response") return { kind: "failed", retryAfterS: 0 };
+    const { response } = result;
+    const page = response.status === 200 ? decodePage(response.body) : null;
+    if (page === null) return { kind: "failed", retryAfterS: retryAfterS(response) };
+    return { kind: "ok", page };
   }
 
   /**
@@ -187,17 +181,6 @@
     await this.call({ method: "DELETE", path: `${PATH.leases}/${leaseId}` });
   }
 
-  private async readPage(lastKey: string | null): Promise<ReturnType<typeof decodeRange>> {
-    const since = lastKey === null ? "" : `&since=${lastKey}`;
-    const result = await this.call({
-      method: "GET",
-      path: `${PATH.keyValues}?prefix=${since}&most=${KEYS_PER_PAGE}`,
-      timeoutMs: PAGE_TIMEOUT_FACTOR * this.timeoutMs,
-    });
-    if (result.kind === "no response" || result.response.status !== 200) return null;
-    return decodeRange(decode(result.response.body));
-  }
-
   private async call(call: Call): Promise<CallResult> {
     const { method, path, body, timeoutMs = this.timeoutMs, pool = this.requestPool } = call;
     try {
@@ -211,3 +194,18 @@
     }
   }
 }
+
+/** Decodes a page of keys; null if the body is malformed. */
+function decodePage(body: Buffer): KeyPage | null {
+  try {
+    return decodeRange(decode(body));
+  } catch {
+    return null;
+  }
+}
+
+/** The seconds that the response asks to wait, from its `Retry-After`; 0 without one. */
+function retryAfterS({ headers }: HttpResponse): number {
+  const seconds = Number(headers.get("retry-after") ?? 0);
+  return seconds > 0 ? Math.min(seconds, MAXIMUM_RETRY_AFTER_S) : 0;
+}
--- a/src/state/state-watcher.ts
+++ b/src/state/state-watcher.ts
@@ -10,6 +10,7 @@
 import type { ChangeEvent, KeyValueItem } from "../core/state/key-value.js";
 import type { ReplicaChange, StateReplica } from "../core/state/state-replica.js";
 import { sleepSeconds } from "../time/sleep.js";
+import { type FullReadStatistics, readAllKeys } from "./full-read.js";
 import type { KeyValueClient, WatchResult } from "./key-value-client.js";
 
 /** Receives everything that is read, in order, before `onChange` is called. */
@@ -32,6 +33,8 @@
    * Called after changes of jobs, the leader or the epoch were applied to the replica; with null after a full read.
    */
   readonly onChange: (change: ReplicaChange | null) => void;
+  /** Called after a full read, before `onChange`. */
+  readonly onLoaded: (statistics: FullReadStatistics) => void;
   /** Null if there is no observer. */
   readonly observer: ChangeObserver | null;
 }
@@ -39,6 +42,12 @@
 /** Delay after a failed request, as a multiple of the minimum interval. */
 const FAILURE_DELAY_INTERVALS = 4;
 
+/**
+ * Shortest time between two pages of a full read, as a multiple of the minimum interval. During a full read the node
+ * makes no linearizable reads and no watches, so the pages may use the share of both in the state service's rate.
+ */
+const PAGE_INTERVALS = 1 / 2;
+
 /** Keeps the replica up to date, and serves linearizable reads. */
 export class StateWatcher {
   /**
@@ -61,10 +70,7 @@
   async run(): Promise<void> {
     const { now, minimumIntervalS } = this.options;
     while (!this.isStopped) {
-      if (!this.isLoaded && !(await this.load())) {
-        await sleepSeconds(FAILURE_DELAY_INTERVALS * minimumIntervalS);
-        continue;
-      }
+      if (!this.isLoaded && !(await this.load())) return;
       const startedAt = now();
       await this.watchOnce();
       const delayS = minimumIntervalS - (now() - startedAt);
@@ -83,14 +89,22 @@
     return done;
   }
 
+  /** Loads the replica with a full read. Returns false if the watcher was stopped meanwhile. */
   private async load(): Promise<boolean> {
-    const { keyValueClient, replica, observer, onChange } = this.options;
-    const result = await keyValueClient.readAll();
+    const { keyValueClient, now, minimumIntervalS, replica, observer } = this.options;
+    const result = await readAllKeys({
+      readPage: (lastKey) => keyValueClient.readPage(lastKey),
+      now,
+      pageIntervalS: PAGE_INTERVALS * minimumIntervalS,
+      retryDelayS: FAILURE_DELAY_INTERVALS * minimumIntervalS,
+      mayContinue: () => !this.isStopped,
+    });
     if (result.kind === "failed") return false;
     replica.reset(result.items, result.revision);
     observer?.reset(result.items, result.revision);
     this.isLoaded = true;
-    onChange(null);
+    this.options.onLoaded(result.statistics);
+    this.options.onChange(null);
     return true;
   }
 
--- a/tests/support/golden-exchanges.ts
+++ b/tests/support/golden-exchanges.ts
@@ -11,6 +11,7 @@
 import { AdaptiveConcurrencyLimit } from "../../src/core/overload/adaptive-concurrency-limit.js";
 import { HttpConnectionPool } from "../../src/net/http-connection-pool.js";
 import { encodePeerHeartbeat } from "../../src/peers/codec.js";
+import { readAllKeys } from "../../src/state/full-read.js";
 import { KeyValueClient, type TransactionResult } from "../../src/state/key-value-client.js";
 import { decode, encode } from "../../src/wire/msgpack.js";
 import { decodeWorkerHeartbeat, encodeWorkerHeartbeat } from "../../src/wire/worker-heartbeat.js";
@@ -67,7 +68,13 @@
   const transactions = [await client.transact(preconditions, [put, change])];
   for (let requestIndex = 0; requestIndex < 3; requestIndex++)
     transactions.push(await client.transact([], [change]));
-  const fullRead = await client.readAll();
+  const fullRead = await readAllKeys({
+    readPage: (lastKey) => client.readPage(lastKey),
+    now: () => 0,
+    pageIntervalS: 0,
+    retryDelayS: 0,
+    mayContinue: (failuresInRow) => failuresInRow === 0,
+  });
   const watches = [await client.watch(12, 0), await client.watch(12, 250)];
   const lease = await client.grantLease(2500.4);
   const extensions = [
--- a/tests/support/golden-stored.ts
+++ b/tests/support/golden-stored.ts
@@ -180,6 +180,7 @@
     minimumIntervalS: 0,
     blockMs: 0,
     onChange: () => {},
+    onLoaded: () => {},
     observer: null,
   });
   watcher.isLoaded = true;
--- a/tests/support/state-service-stand-in.ts
+++ b/tests/support/state-service-stand-in.ts
@@ -10,6 +10,7 @@
   type Transaction,
 } from "../../src/wire/inverse-codecs.js";
 import { PATH } from "../../src/wire/names.js";
+import type { RequestRateLimit } from "./request-rate-limit.js";
 import { type StandInResponse, StandInServer, UNAVAILABLE } from "./stand-in-server.js";
 import { StateServiceProxy } from "./state-service-proxy.js";
 
@@ -25,6 +26,7 @@
   readonly timer: NodeJS.Timeout;
 }
 
+const TOO_MANY_REQUESTS: StandInResponse = { status: 429, body: { error: "too many requests" } };
 const NOT_FOUND: StandInResponse = { status: 404, body: {} };
 const ok = (body: unknown): StandInResponse => ({ status: 200, body });
 const badRequest = (error: string): StandInResponse => ({ status: 400, body: { error } });
@@ -40,11 +42,17 @@
   rejectedTransactionCount = 0;
   /** Whether all requests are answered with 503. Open watches stay open. */
   isUnavailable = false;
+  /** Requests beyond this rate, with a burst of one second's worth, are answered with 429. Null: no limit. */
+  requestLimit: RequestRateLimit | null = null;
+  /** Number of pages of keys that were read. */
+  pageReadCount = 0;
   private readonly changeLog: ChangeEvent[] = [];
   private readonly leases = new Map<number, Lease>();
   private readonly watchers = new Set<() => void>();
   private readonly proxies: StateServiceProxy[] = [];
   private readonly server = new StandInServer((...request) => this.handle(...request));
+  /** The keys of `entries` in order; null after a change. */
+  private sortedKeys: string[] | null = null;
   private nextLeaseId = 1;
   private revision = 1;
 
@@ -61,6 +69,15 @@
     return this.server.start();
   }
 
+  /** Stores values as if they had been written before. */
+  seed(values: Iterable<readonly [key: string, value: unknown]>): void {
+    this.revision++;
+    for (const [key, value] of values) {
+      this.entries.set(key, { value, modRevision: this.revision, lease: null });
+    }
+    this.sortedKeys = null;
+  }
+
   /** Starts a proxy for one node, in which a test can inject faults for this node only. */
   async openProxy(): Promise<StateServiceProxy> {
     const proxy = new StateServiceProxy((...request) => this.handle(...request));
@@ -77,6 +94,7 @@
 
   private async handle(method: string, url: URL, body: unknown): Promise<StandInResponse> {
     if (this.isUnavailable) return UNAVAILABLE;
+    if (this.requestLimit?.take() === false) return TOO_MANY_REQUESTS;
     const { pathname, searchParams } = url;
     if (pathname === PATH.leases && method === "POST") return this.grantLease(body);
     if (pathname.startsWith(`${PATH.leases}/`)) return this.extendOrRevokeLease(method, pathname);
@@ -124,18 +142,25 @@
   }
 
   private readRange(query: URLSearchParams): StandInResponse {
+    this.pageReadCount++;
     const prefix = query.get("prefix") ?? "";
     const since = query.get("since") ?? "";
     const limit = Number(query.get("most") ?? "");
-    const matches = [...this.entries]
-      .filter(([key]) => key.startsWith(prefix) && key > since)
-      .sort(([a], [b]) => (a < b ? -1 : 1));
-    const items = matches
-      .slice(0, limit)
-      .map(([key, { value, modRevision }]) => ({ key, value, modRevision }));
+    const matches = this.keysInOrder().filter((key) => key.startsWith(prefix) && key > since);
+    const items = matches.slice(0, limit).map((key) => {
+      const { value, modRevision } = this.entries.get(key)!;
+      return { key, value, modRevision };
+    });
     return ok(encodeRange(items, matches.length > limit, this.revision));
   }
 
+  private keysInOrder(): readonly string[] {
+    if (this.sortedKeys?.length !== this.entries.size) {
+      this.sortedKeys = [...this.entries.keys()].sort();
+    }
+    return this.sortedKeys;
+  }
+
   private async watch(query: URLSearchParams): Promise<StandInResponse> {
     const since = Number(query.get("since") ?? "");
     const blockMs = Number(query.get("blockMs") ?? "");
@@ -200,6 +225,7 @@
   private applyChange(change: Change): void {
     const { key } = change;
     const modRevision = this.revision;
+    this.sortedKeys = null;
     if (change.op === "delete") {
       this.entries.delete(key);
       this.changeLog.push({ key, value: null, removed: true, modRevision });
