Place no more tasks on a machine than its worker can list in a heartbeat

Request bodies are limited to 64 KiB in JSON form. A heartbeat lists every task on the machine, with up to 98 bytes each, and nothing limited their number.

Mended: taskSlots and freeTaskSlots count MAXIMUM_TASKS_PER_MACHINE (658), which follows from the limit. freeTaskSlots takes the place of freeSlotsOn and of two copies of the same expression in scaling and zone relocation.

--- a/src/core/capacity/scaling.ts
+++ b/src/core/capacity/scaling.ts
@@ -2,7 +2,7 @@
 import type { Cluster } from "../cluster.js";
 import { isMachineAllowed, type ZoneOccupancy } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
-import { type Machine, taskSlots } from "../machines/machine.js";
+import { freeTaskSlots, type Machine, taskSlots } from "../machines/machine.js";
 import type { JobSpec } from "../model/jobs.js";
 import { mayRelocate } from "../planning/zone-relocation.js";
 import { isBootLate } from "./boot-timeouts.js";
@@ -61,7 +61,7 @@
   let slots = 0;
   for (const machine of cluster.machines.values()) {
     if (!countsAsCapacity(machine, now) || !isMachineAllowed(spec, machine)) continue;
-    slots += taskSlots(spec, machine.freeCpus, machine.freeGpus, machine.freeMemoryGb);
+    slots += freeTaskSlots(spec, machine);
   }
   return slots;
 }
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -2,7 +2,7 @@
 
 import type { Placement } from "../dispatch/placement.js";
 import type { ActiveJob } from "../jobs/active-job.js";
-import { AMOUNT_TOLERANCE } from "../model/constants.js";
+import { AMOUNT_TOLERANCE, MAXIMUM_TASKS_PER_MACHINE } from "../model/constants.js";
 import type { JobSpec } from "../model/jobs.js";
 import type { MachineType } from "../model/machines.js";
 
@@ -163,9 +163,12 @@
   }
 }
 
-/** Number of tasks of a job that fit into the given amounts of CPUs, GPUs and memory. */
+/**
+ * Number of tasks of a job that fit into the given amounts of CPUs, GPUs and memory of one machine, which holds
+ * `MAXIMUM_TASKS_PER_MACHINE` at most.
+ */
 export function taskSlots(spec: JobSpec, cpus: number, gpus: number, memoryGb: number): number {
-  let slots = Number.MAX_SAFE_INTEGER;
+  let slots = MAXIMUM_TASKS_PER_MACHINE;
   if (spec.cpus > 0) slots = Math.min(slots, Math.floor((cpus + AMOUNT_TOLERANCE) / spec.cpus));
   if (spec.gpus > 0) slots = Math.min(slots, Math.floor((gpus + AMOUNT_TOLERANCE) / spec.gpus));
   if (spec.memoryGb > 0) {
@@ -173,3 +176,10 @@
   }
   return Math.max(0, slots);
 }
+
+/** Number of tasks of a job that fit on the machine beside the tasks that it has, and those that its worker lists. */
+export function freeTaskSlots(spec: JobSpec, machine: Machine): number {
+  const { freeCpus, freeGpus, freeMemoryGb, placements, exitedTasks } = machine;
+  const unusedEntries = MAXIMUM_TASKS_PER_MACHINE - placements.size - exitedTasks.size;
+  return Math.max(0, Math.min(unusedEntries, taskSlots(spec, freeCpus, freeGpus, freeMemoryGb)));
+}
--- a/src/core/planning/candidates.ts
+++ b/src/core/planning/candidates.ts
@@ -2,11 +2,11 @@
 
 import { isMachineAllowed } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
-import { type Machine, taskSlots } from "../machines/machine.js";
+import { freeTaskSlots, type Machine, taskSlots } from "../machines/machine.js";
 import { START_LATENCY_BOUND_S } from "../model/constants.js";
 import type { JobSpec } from "../model/jobs.js";
 import type { GpuReservation, PlanningContext } from "./context.js";
-import { freeSlotsOn, imagePullS, isCapacityOpenTo } from "./eligibility.js";
+import { imagePullS, isCapacityOpenTo } from "./eligibility.js";
 import { blocksGpuJob } from "./gpu-reservation.js";
 
 /** Cost of blocking a GPU job, as a multiple of the machine's boot time. It keeps GPUs usable for GPU jobs. */
@@ -62,7 +62,7 @@
   const isReservedCapacityOpen = isStalledPastReservation(job, context);
   const candidates: Candidate[] = [];
   for (const machine of context.snapshot.withFreeCapacity) {
-    const freeSlots = freeSlotsOn(spec, machine);
+    const freeSlots = freeTaskSlots(spec, machine);
     if (freeSlots === 0 || !isCapacityOpenTo(machine, job)) continue;
     if (!isMachineAllowed(spec, machine) || job.zones.capacityIn(machine.zone) === 0) continue;
     if (job.failures.avoids(machine.name, context.now)) continue;
@@ -111,7 +111,7 @@
   if (spec.gpus > 0 || spec.priority === "production") return slots;
   if (!reservation.reservedMachines.has(machine)) return slots;
   for (const gpuJob of reservation.gpuJobSpecs) {
-    if (freeSlotsOn(gpuJob, machine) < 1) continue;
+    if (freeTaskSlots(gpuJob, machine) < 1) continue;
     const cpusBeside = machine.freeCpus - gpuJob.cpus;
     const memoryGbBeside = machine.freeMemoryGb - gpuJob.memoryGb;
     slots = Math.min(slots, taskSlots(spec, cpusBeside, Infinity, memoryGbBeside));
--- a/src/core/planning/eligibility.ts
+++ b/src/core/planning/eligibility.ts
@@ -71,10 +71,6 @@
 export const slotsOnEmptyMachine = (spec: JobSpec, { type }: Machine): number =>
   taskSlots(spec, type.cpus, type.gpus, type.memoryGb);
 
-/** Number of tasks of the job that fit into the machine's free capacity. */
-export const freeSlotsOn = (spec: JobSpec, machine: Machine): number =>
-  taskSlots(spec, machine.freeCpus, machine.freeGpus, machine.freeMemoryGb);
-
 /** Machines that accept new work and on which a task of the job would fit if nothing else ran there. */
 export function* machinesThatFit(spec: JobSpec, context: PlanningContext): Generator<Machine> {
   for (const machines of context.snapshot.usableByType.values()) {
--- a/src/core/planning/gang-capacity.ts
+++ b/src/core/planning/gang-capacity.ts
@@ -2,9 +2,9 @@
 
 import { isMachineAllowed } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
-import { type Machine, taskSlots } from "../machines/machine.js";
+import { freeTaskSlots, type Machine, taskSlots } from "../machines/machine.js";
 import type { PlanningContext } from "./context.js";
-import { freeSlotsOn, imagePullS, isCapacityOpenTo, machinesThatFit } from "./eligibility.js";
+import { imagePullS, isCapacityOpenTo, machinesThatFit } from "./eligibility.js";
 import { mayPreempt } from "./preemption.js";
 
 /** Bonus for the zone reserved in the last cycle, as a share of the gang's tasks, so that the zone rarely changes. */
@@ -77,7 +77,7 @@
     const capacity = capacities.get(zone) ?? emptyCapacity();
     capacities.set(zone, capacity);
     const totalSlots = attainableSlots(job, machine, context);
-    const freeSlots = freeSlotsOn(spec, machine);
+    const freeSlots = freeTaskSlots(spec, machine);
     const isBeingFreed = machine.reservation?.job === job;
     capacity.totalSlots += spec.spread ? occupancy.reserveIn(machine.zone, totalSlots) : totalSlots;
     capacity.freeSlots += freeSlots;
--- a/src/core/planning/gpu-reservation.ts
+++ b/src/core/planning/gpu-reservation.ts
@@ -1,10 +1,9 @@
 /** Reserves GPU machines for GPU jobs. Other jobs must leave enough free capacity there for a GPU job. */
 import type { Cluster } from "../cluster.js";
 import { isMachineAllowed } from "../dispatch/placement-constraints.js";
-import { type Machine, taskSlots } from "../machines/machine.js";
+import { freeTaskSlots, type Machine, taskSlots } from "../machines/machine.js";
 import type { JobSpec } from "../model/jobs.js";
 import type { GpuReservation } from "./context.js";
-import { freeSlotsOn } from "./eligibility.js";
 
 /** Minimum number of free GPU machines to reserve. */
 const MIN_RESERVED_MACHINES = 2;
@@ -89,7 +88,7 @@
   machine.interruptionAt === null;
 
 const fitsTaskOfAny = (specs: readonly JobSpec[], machine: Machine): boolean =>
-  specs.some((spec) => isMachineAllowed(spec, machine) && freeSlotsOn(spec, machine) > 0);
+  specs.some((spec) => isMachineAllowed(spec, machine) && freeTaskSlots(spec, machine) > 0);
 
 function pulledImagesGb(machine: Machine, names: ReadonlySet<string>): number {
   let sumGb = 0;
--- a/src/core/planning/preemption-executor.ts
+++ b/src/core/planning/preemption-executor.ts
@@ -3,8 +3,9 @@
 import type { CommandDispatcher } from "../dispatch/command-dispatcher.js";
 import type { ZoneOccupancy } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
+import { freeTaskSlots } from "../machines/machine.js";
 import type { PlanningContext } from "./context.js";
-import { freeSlotsOn, slotsOnEmptyMachine } from "./eligibility.js";
+import { slotsOnEmptyMachine } from "./eligibility.js";
 import { findPreemption, type PreemptionChoice } from "./preemption.js";
 
 /**
@@ -62,7 +63,7 @@
       }
       this.preempt(choice, job, context);
       const { machine } = choice;
-      missingSlots -= zones.reserveIn(machine.zone, Math.max(1, freeSlotsOn(job.spec, machine)));
+      missingSlots -= zones.reserveIn(machine.zone, Math.max(1, freeTaskSlots(job.spec, machine)));
     }
   }
 
--- a/src/core/planning/urgency.ts
+++ b/src/core/planning/urgency.ts
@@ -2,11 +2,12 @@
 
 import { isMachineAllowed } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
+import { freeTaskSlots } from "../machines/machine.js";
 import { START_LATENCY_BOUND_S } from "../model/constants.js";
 import type { JobSpec } from "../model/jobs.js";
 import type { Objective } from "../model/settings.js";
 import type { PlanningContext } from "./context.js";
-import { freeSlotsOn, slotsOnEmptyMachine } from "./eligibility.js";
+import { slotsOnEmptyMachine } from "./eligibility.js";
 
 /** The time that the job has waited, as a share of `START_LATENCY_BOUND_S`. Above 1 the job is past the bound. */
 export const waitedShareOfStartBound = (job: ActiveJob, context: PlanningContext): number =>
@@ -87,7 +88,7 @@
     fastestGbPerS = Math.max(fastestGbPerS, machine.type.fetchGbPerS);
   }
   for (const machine of context.snapshot.withImage.get(spec.image) ?? []) {
-    if (isMachineAllowed(spec, machine) && freeSlotsOn(spec, machine) > 0) return 0;
+    if (isMachineAllowed(spec, machine) && freeTaskSlots(spec, machine) > 0) return 0;
   }
   return fastestGbPerS > 0 ? spec.imageGb / fastestGbPerS : 0;
 }
--- a/src/core/planning/zone-relocation.ts
+++ b/src/core/planning/zone-relocation.ts
@@ -9,7 +9,7 @@
 import type { CommandDispatcher } from "../dispatch/command-dispatcher.js";
 import { isMachineAllowed, UNKNOWN_ZONE } from "../dispatch/placement-constraints.js";
 import type { ActiveJob } from "../jobs/active-job.js";
-import { taskSlots } from "../machines/machine.js";
+import { freeTaskSlots } from "../machines/machine.js";
 import { START_LATENCY_BOUND_S } from "../model/constants.js";
 import type { MachineSnapshot } from "./context.js";
 import { isCapacityOpenTo } from "./eligibility.js";
@@ -86,7 +86,7 @@
       isCapacityOpenTo(machine, job) &&
       !job.failures.avoids(machine.name, now);
     if (!isEligible) continue;
-    const slots = taskSlots(spec, machine.freeCpus, machine.freeGpus, machine.freeMemoryGb);
+    const slots = freeTaskSlots(spec, machine);
     slotsByZone.set(machine.zone, (slotsByZone.get(machine.zone) ?? 0) + slots);
   }
   return slotsByZone;
