--- a/src/cli.ts
+++ b/src/cli.ts
@@ -88,7 +88,7 @@
   const stored = await readAllKeys({
     readPage: (lastKey) => client.readPage(lastKey),
     now: steadyNowS,
-    pageIntervalS: minimumReadIntervalS,
+    pagesPerS: 1 / minimumReadIntervalS,
     retryDelayS: STATE_RETRY_DELAY_S,
     mayContinue: (failuresInRow) => failuresInRow < MAXIMUM_STATE_FAILURES,
   });
--- a/src/state/full-read.ts
+++ b/src/state/full-read.ts
@@ -5,6 +5,7 @@
  * the read, three controllers that started together with 114,500 keys used up the rate of the state service, began
  * again at the first page, and never loaded their replicas.
  */
+import { TokenBucket } from "../core/overload/token-bucket.js";
 import type { KeyValueItem } from "../core/state/key-value.js";
 import { sleepSeconds } from "../time/sleep.js";
 import type { KeyPage } from "../wire/key-value.js";
@@ -21,8 +22,8 @@
   readonly readPage: (lastKey: string | null) => Promise<PageResult>;
   /** Current monotonic time, in seconds. */
   readonly now: () => number;
-  /** Shortest time between two requests, in seconds. */
-  readonly pageIntervalS: number;
+  /** Number of pages requested per second. The pages of one second may be requested in a burst. */
+  readonly pagesPerS: number;
   /** Delay after a failed request, in seconds, unless the state service asks for a longer one. */
   readonly retryDelayS: number;
   /** Whether to request the next page, given the number of requests that have failed in a row. */
@@ -64,15 +65,17 @@
   private failedRequests = 0;
   private failuresInRow = 0;
   private readonly startedAt: number;
+  private readonly pageBudget: TokenBucket;
 
   constructor(private readonly options: FullReadOptions) {
     this.startedAt = options.now();
+    this.pageBudget = new TokenBucket(options.pagesPerS, Math.max(1, options.pagesPerS));
   }
 
   async run(): Promise<FullReadResult> {
-    const { now, pageIntervalS, mayContinue, readPage } = this.options;
+    const { mayContinue, readPage } = this.options;
     while (mayContinue(this.failuresInRow)) {
-      const requestedAt = now();
+      await this.waitForPageBudget();
       const result = await readPage(this.items.at(-1)?.key ?? null);
       if (result.kind === "failed") {
         await this.waitAfterFailure(result.retryAfterS);
@@ -80,11 +83,18 @@
       }
       const isLastPage = this.addPage(result.page);
       if (isLastPage) return this.complete(result.page.revision);
-      await sleepUntilElapsed(pageIntervalS, requestedAt, now);
     }
     return { kind: "failed" };
   }
 
+  /** Takes the budget of one page, and waits until it is covered. */
+  private async waitForPageBudget(): Promise<void> {
+    const now = this.options.now();
+    const delayS = this.pageBudget.secondsUntilAvailable(1, now);
+    this.pageBudget.takeOnCredit(1, now);
+    if (delayS > 0) await sleepSeconds(delayS);
+  }
+
   private async waitAfterFailure(retryAfterS: number): Promise<void> {
     this.failedRequests++;
     this.failuresInRow++;
@@ -107,12 +117,3 @@
     return { kind: "ok", items, revision: this.revision ?? lastRevision, statistics };
   }
 }
-
-async function sleepUntilElapsed(
-  seconds: number,
-  startedAt: number,
-  now: () => number,
-): Promise<void> {
-  const remainingS = seconds - (now() - startedAt);
-  if (remainingS > 0) await sleepSeconds(remainingS);
-}
--- a/src/state/state-watcher.ts
+++ b/src/state/state-watcher.ts
@@ -43,10 +43,10 @@
 const FAILURE_DELAY_INTERVALS = 4;
 
 /**
- * Shortest time between two pages of a full read, as a multiple of the minimum interval. During a full read the node
- * makes no linearizable reads and no watches, so the pages may use the share of both in the state service's rate.
+ * Pages of a full read that are requested in one minimum interval. During a full read the node makes no linearizable
+ * reads and no watches, so the pages may use the share of both in the state service's rate.
  */
-const PAGE_INTERVALS = 1 / 2;
+const PAGES_PER_INTERVAL = 2;
 
 /** Keeps the replica up to date, and serves linearizable reads. */
 export class StateWatcher {
@@ -95,7 +95,7 @@
     const result = await readAllKeys({
       readPage: (lastKey) => keyValueClient.readPage(lastKey),
       now,
-      pageIntervalS: PAGE_INTERVALS * minimumIntervalS,
+      pagesPerS: PAGES_PER_INTERVAL / minimumIntervalS,
       retryDelayS: FAILURE_DELAY_INTERVALS * minimumIntervalS,
       mayContinue: () => !this.isStopped,
     });
