Split the choice of due commands from the dispatcher

command-dispatcher.ts had 325 lines: it decided which commands are due and when messages go out. The first part is now due-commands.ts, moved unchanged but for the calls back to the dispatcher (AttemptControl). No change of behaviour.

--- a/src/core/dispatch/command-dispatcher.ts
+++ b/src/core/dispatch/command-dispatcher.ts
@@ -1,21 +1,16 @@
-/** Decides which commands and probes are sent to each worker, and when. */
+/** Decides when commands and probes are sent to each worker; `due-commands.ts` decides which commands. */
 
 import type { ActiveJob } from "../jobs/active-job.js";
 import type { LeaderContext } from "../leader-context.js";
-import type { ExitedTask, Machine } from "../machines/machine.js";
+import type { Machine } from "../machines/machine.js";
 import type { WorkerCommand } from "../model/workers.js";
 import { TokenBucket } from "../overload/token-bucket.js";
+import { DueCommands } from "./due-commands.js";
 import { type OrphanedTask, OrphanedTasks } from "./orphaned-tasks.js";
-import type { Placement, StopRequest } from "./placement.js";
-import { isMachineAllowed } from "./placement-constraints.js";
+import type { Placement } from "./placement.js";
 
 /** Rate of the probe budget: probes per second for each CPU core of this node. */
 const PROBES_PER_CORE_S = 40;
-/**
- * Maximum number of commands in a direct request, and also in the response to a heartbeat. It keeps their bodies below
- * the protocol's limit of 64 KiB.
- */
-export const MAXIMUM_COMMANDS_PER_MESSAGE = 400;
 /** Maximum number of concurrent probes, and also of concurrent token-only requests, while the node is overloaded. */
 const CONCURRENT_REQUESTS_OVERLOADED = 4;
 /** Lower bound of each of the two maximums while the node is not overloaded. */
@@ -38,8 +33,10 @@
   /** Set by the node while it is overloaded. Probes and token-only requests are then limited more strictly. */
   isOverloaded = false;
   private readonly orphanedTasks = new OrphanedTasks();
+  private readonly dueCommands: DueCommands;
 
   constructor(private readonly context: LeaderContext) {
+    this.dueCommands = new DueCommands(context, this.orphanedTasks, this);
     const rate = PROBES_PER_CORE_S * context.settings.cpuShare;
     this.probeBudget = new TokenBucket(rate, rate);
   }
@@ -123,28 +120,11 @@
   }
 
   /**
-   * Returns the commands to send to a machine now, and records them as sent. At most `MAXIMUM_COMMANDS_PER_MESSAGE`
-   * are taken; the others remain due. A command that was recorded as sent but left out of the message would never get
-   * an outcome: 200 of 600 starts for one machine were lost that way, and their tasks never ran. Start commands are
-   * included only in direct requests (`withStarts`), because their outcome is reported back, unlike that of heartbeat
-   * responses.
+   * Returns the commands to send to a machine now, and records them as sent. Start commands are included only in direct
+   * requests (`withStarts`), because their outcome is reported back, unlike that of heartbeat responses.
    */
   takeCommandsFor(machine: Machine, now: number, withStarts: boolean): WorkerCommand[] {
-    const commands: WorkerCommand[] = [];
-    for (const placement of [...machine.placements.values()]) {
-      if (commands.length >= MAXIMUM_COMMANDS_PER_MESSAGE) return commands;
-      const { stop } = placement;
-      let command: WorkerCommand | null = null;
-      if (stop !== null) command = this.takeDueStop(placement, stop, now);
-      else if (withStarts) command = this.takeDueStart(placement, now);
-      if (command !== null) commands.push(command);
-    }
-    const maximumStops = MAXIMUM_COMMANDS_PER_MESSAGE - commands.length;
-    for (const { job, task, attempt } of this.orphanedTasks.take(machine.name, maximumStops)) {
-      commands.push({ op: "stop", job, task, attempt, graceS: 0 });
-    }
-    this.addForgets(machine, commands);
-    return commands;
+    return this.dueCommands.take(machine, now, withStarts);
   }
 
   /**
@@ -189,111 +169,6 @@
     this.context.effects.push({ kind: "probe", machine: machine.name, address: machine.address });
   }
 
-  /**
-   * Returns the stop command for a placement and records it as sent, or returns null if it is not due. A placement
-   * whose start command was never sent is released instead.
-   */
-  private takeDueStop(placement: Placement, stop: StopRequest, now: number): WorkerCommand | null {
-    if (placement.state === "planned") {
-      this.releaseIfNeverSent(placement, now);
-      return null;
-    }
-    if (placement.state === "loaded") return null;
-    // Another stop command would interrupt the checkpoint, so it is sent only if the grace period is zero.
-    if (placement.state === "checkpointing" && stop.graceS > 0) return null;
-    if (now - stop.sentAt < this.context.settings.heartbeatIntervalS / 6) return null;
-    stop.sentAt = now;
-    return { op: "stop", ...commandTarget(placement), graceS: stop.graceS };
-  }
-
-  /**
-   * Returns the start command for a placement and records it as sent, or returns null if it may not be sent now. A
-   * placement that violates a constraint is withdrawn.
-   */
-  private takeDueStart(placement: Placement, now: number): WorkerCommand | null {
-    if (!this.mayStart(placement, now)) return null;
-    const violatedConstraint = this.findViolatedConstraint(placement);
-    if (violatedConstraint !== null) {
-      this.withdrawPlacement(placement, violatedConstraint, now);
-      return null;
-    }
-    placement.state = "sent";
-    placement.sentAt = now;
-    placement.startsInFlight++;
-    return { op: "start", ...commandTarget(placement) };
-  }
-
-  private addForgets(machine: Machine, commands: WorkerCommand[]): void {
-    for (const [key, exited] of machine.exitedTasks) {
-      if (commands.length >= MAXIMUM_COMMANDS_PER_MESSAGE) return;
-      if (!this.mayForget(machine, key, exited)) continue;
-      const { job, task, attempt } = exited;
-      commands.push({ op: "forget", job, task, attempt });
-    }
-  }
-
-  private mayStart(placement: Placement, now: number): boolean {
-    const { job, machine, state } = placement;
-    if (job.isCancelled || !job.isPersisted(placement.task, placement.version)) return false;
-    if (!machine.hasAcknowledgedToken || placement.incarnation !== machine.incarnation)
-      return false;
-    if (state === "planned") return !placement.waitsForGangPeers(now);
-    // A start command whose outcome is unknown can be repeated safely, because it is for the same attempt.
-    return (
-      state === "sent" &&
-      placement.startsInFlight === 0 &&
-      machine.unansweredStarts.has(placement.key) &&
-      now - placement.sentAt > this.context.settings.heartbeatIntervalS / 2
-    );
-  }
-
-  /**
-   * Checks the placement constraints again immediately before a start. Since the task was placed, a worker may have
-   * reported an unrecorded task of the job, or the machine's type, zone or spot flag may have been corrected. The
-   * placement of a previous leader may also violate a constraint. Returns the constraint that the start would
-   * violate, or null.
-   */
-  private findViolatedConstraint(placement: Placement): string | null {
-    const { job, machine } = placement;
-    if (!isMachineAllowed(job.spec, machine)) return "machine not allowed for the job";
-    if (!job.zones.mayStartIn(machine.zone)) return "zone not allowed given the job's other tasks";
-    if (job.hasOtherAttempt(placement)) return "another attempt of the task may be running";
-    if (!this.context.cluster.isWithinQuota(job.spec.team)) return "team exceeds its quota";
-    return null;
-  }
-
-  /**
-   * Withdraws a placement that violates a constraint. If its start may have been sent, the placement is stopped and
-   * keeps its resources until it has certainly terminated; otherwise it is released at once.
-   */
-  private withdrawPlacement(placement: Placement, why: string, now: number): void {
-    if (placement.job.spec.kind === "gang") this.restartGang(placement.job, why);
-    else this.stop(placement, why, 0);
-    this.releaseIfNeverSent(placement, now);
-  }
-
-  private releaseIfNeverSent(placement: Placement, now: number): void {
-    const { machine } = placement;
-    if (placement.state !== "planned" || placement.startsInFlight > 0) return;
-    if (machine.unansweredStarts.has(placement.key)) return;
-    // No start command was sent under this fencing token, the worker drops start commands with earlier tokens, and
-    // it does not report the attempt. So the attempt cannot be running.
-    if (machine.hasAcknowledgedToken && placement.incarnation === machine.incarnation) {
-      this.release(placement, now);
-    }
-  }
-
-  /**
-   * Whether the worker may forget an exited attempt. After that, a delayed duplicate of the attempt's start command
-   * would run it again, so no start command of the attempt may be unanswered under the current fencing token. In
-   * addition, the exit must be stored.
-   */
-  private mayForget(machine: Machine, key: string, exited: ExitedTask): boolean {
-    if (machine.unansweredStarts.has(key)) return false;
-    const job = this.context.cluster.jobs.get(exited.job);
-    return job === undefined || job.isPersisted(exited.task, exited.version);
-  }
-
   /** Sends a direct request without commands, which only carries the current fencing token. */
   private sendFencingToken(machine: Machine): void {
     this.machinesAwaitingDispatch.add(machine);
@@ -321,5 +196,3 @@
   }
   return false;
 }
-
-const commandTarget = ({ job, task, attempt }: Placement) => ({ job: job.spec.id, task, attempt });
--- a/tests/command-limits.test.ts
+++ b/tests/command-limits.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { MAXIMUM_COMMANDS_PER_MESSAGE } from "../src/core/dispatch/command-dispatcher.js";
+import { MAXIMUM_COMMANDS_PER_MESSAGE } from "../src/core/dispatch/due-commands.js";
 import { taskKey } from "../src/core/dispatch/placement.js";
 import type { JobSpec } from "../src/core/model/jobs.js";
 import type { TaskStatus, WorkerCommand } from "../src/core/model/workers.js";
