Open reserved GPU machines one at a time, and only to jobs without any task

Now a job without a task on any machine for 60 s, within its quota, gets one reserved machine, a gang those that it needs.

The bound of 90 s is as it was.

--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -53,8 +53,8 @@
   /** Time since which tasks of the job have waited for capacity; null: none waits. */
   waitingSince: number | null = null;
   /**
-   * Time since which tasks have waited for capacity, within the team's quota, without any of them being placed; null:
-   * the last cycle placed one, or none waits.
+   * Time since which the job has waited for capacity, within its team's quota, without a task on any machine; null: it
+   * has tasks on machines, or waits for its quota, or does not wait.
    */
   stalledSince: number | null = null;
   private parsedResiduals: Expression[] | null = null;
@@ -100,16 +100,16 @@
   }
 
   /**
-   * Updates the times since which tasks have waited, after the placement step of a cycle. `isStalled`: the step placed
-   * no task of the job, although its team's quota allows one.
+   * Updates the times since which tasks have waited, after the placement step of a cycle. `isWithinQuota`: the team's
+   * quota allows another task of the job.
    */
-  recordPlacementStep(isStalled: boolean, now: number): void {
+  recordPlacementStep(isWithinQuota: boolean, now: number): void {
     if (this.pendingCount === 0) {
       this.recordNothingWaits();
       return;
     }
     this.waitingSince ??= now;
-    if (isStalled) this.stalledSince ??= now;
+    if (isWithinQuota && this.placementCount === 0) this.stalledSince ??= now;
     else this.stalledSince = null;
   }
 
--- a/src/core/planning/candidates.ts
+++ b/src/core/planning/candidates.ts
@@ -34,11 +34,13 @@
 const GPU_BLOCKING_AFTER_HEARTBEAT_INTERVALS = 2;
 
 /**
- * Share of `START_LATENCY_BOUND_S` after which capacity reserved for GPU jobs is open to a job none of whose waiting
- * tasks could be placed. No job may be left waiting for 90 s beside a machine with room: the rest of that time is
- * needed to find out that a machine failed, and to pull the image.
+ * Share of `START_LATENCY_BOUND_S` after which a job without a task on any machine may use machines reserved for GPU
+ * jobs. No job may be left waiting for 90 s beside a machine with room; the rest of that time is needed to find out
+ * that a machine failed, and to pull the image.
  */
-const RESERVATION_BOUND_SHARE = 1 / 8;
+const RESERVATION_BOUND_SHARE = 1 / 4;
+
+const NO_MACHINES: ReadonlySet<Machine> = new Set();
 
 /** A machine with free capacity for tasks of a job. */
 export interface Candidate {
@@ -55,11 +57,47 @@
   context.now - job.waitingSince >
     GPU_BLOCKING_AFTER_HEARTBEAT_INTERVALS * context.settings.heartbeatIntervalS;
 
-/** Returns the machines with free capacity for the job, sorted by cost and then by name. */
+/**
+ * Returns the machines with free capacity for the job, sorted by cost and then by name. Machines reserved for GPU jobs
+ * are left out, unless the job has waited for so long that it would otherwise be left waiting beside them: the
+ * reservation lasts as long as GPU jobs are known, and an array waited beside two empty machines without end. A gang
+ * then gets all of them, as it uses no more than it needs, and any other job the one that is the least useful to GPU
+ * jobs: when jobs got all of them, gangs within a guarantee started late.
+ */
 export function findCandidates(job: ActiveJob, context: PlanningContext): Candidate[] {
+  const { reservedMachines } = context.gpuReservation;
+  const candidates = findCandidatesBeside(reservedMachines, job, context);
+  if (!isStalledPastReservation(job, context)) return candidates;
+  if (job.spec.kind === "gang") return findCandidatesBeside(NO_MACHINES, job, context);
+  if (candidates.length > 0) return candidates;
+  const reserved = findCandidatesBeside(NO_MACHINES, job, context);
+  return leastUsefulToGpuJobs(reserved, reservedMachines);
+}
+
+/** The candidate that comes last in the order of the reserved machines, as a list; empty if there is no candidate. */
+function leastUsefulToGpuJobs(
+  candidates: readonly Candidate[],
+  reservedMachines: ReadonlySet<Machine>,
+): Candidate[] {
+  for (const machine of [...reservedMachines].reverse()) {
+    const candidate = candidates.find((other) => other.machine === machine);
+    if (candidate !== undefined) return [candidate];
+  }
+  return [];
+}
+
+const isStalledPastReservation = (job: ActiveJob, context: PlanningContext): boolean =>
+  job.stalledSince !== null &&
+  context.now - job.stalledSince > RESERVATION_BOUND_SHARE * START_LATENCY_BOUND_S;
+
+/** As `findCandidates`, with the capacity that these reserved machines have beside a GPU job. */
+function findCandidatesBeside(
+  reservedMachines: ReadonlySet<Machine>,
+  job: ActiveJob,
+  context: PlanningContext,
+): Candidate[] {
   const { spec } = job;
   const { gpuReservation } = context;
-  const isReservedCapacityOpen = isStalledPastReservation(job, context);
   const candidates: Candidate[] = [];
   for (const machine of context.snapshot.withFreeCapacity) {
     const freeSlots = freeTaskSlots(spec, machine);
@@ -67,9 +105,9 @@
     if (!isMachineAllowed(spec, machine) || job.zones.capacityIn(machine.zone) === 0) continue;
     if (job.failures.avoids(machine.name, context.now)) continue;
     if (mustAvoidBlockingGpuJobs(job, machine, context)) continue;
-    const slots = isReservedCapacityOpen
-      ? freeSlots
-      : Math.min(freeSlots, slotsBesideGpuJobs(spec, machine, gpuReservation));
+    const slots = reservedMachines.has(machine)
+      ? Math.min(freeSlots, slotsBesideGpuJobs(spec, machine, gpuReservation))
+      : freeSlots;
     if (slots <= 0) continue;
     const costS = placementCostS(machine, spec, gpuReservation);
     candidates.push({ machine, freeSlots: slots, costS });
@@ -77,15 +115,6 @@
   return candidates.sort((a, b) => a.costS - b.costS || (a.machine.name < b.machine.name ? -1 : 1));
 }
 
-/**
- * Whether tasks of the job have waited for so long without a placement that machines reserved for GPU jobs are open
- * to it. Without this end of the reservation, an array waited for as long as two empty GPU machines were kept for a
- * class of which no job was left.
- */
-const isStalledPastReservation = (job: ActiveJob, context: PlanningContext): boolean =>
-  job.stalledSince !== null &&
-  context.now - job.stalledSince > RESERVATION_BOUND_SHARE * START_LATENCY_BOUND_S;
-
 /**
  * Whether the job is a service that must not be placed on this machine yet, because its tasks would block GPU jobs
  * there. Service tasks run for a long time, so a service first waits for free capacity elsewhere (`mayBlockGpuJobs`).
@@ -103,13 +132,12 @@
 }
 
 /**
- * Number of tasks that may be placed beside one task of any GPU job that fits on the machine now, if the machine is
- * reserved for GPU jobs. Infinite on other machines, and for production jobs and GPU jobs.
+ * Number of tasks that may be placed on a reserved machine beside one task of any GPU job that fits there now. Infinite
+ * for production jobs and GPU jobs.
  */
 function slotsBesideGpuJobs(spec: JobSpec, machine: Machine, reservation: GpuReservation): number {
   let slots = Infinity;
   if (spec.gpus > 0 || spec.priority === "production") return slots;
-  if (!reservation.reservedMachines.has(machine)) return slots;
   for (const gpuJob of reservation.gpuJobSpecs) {
     if (freeTaskSlots(gpuJob, machine) < 1) continue;
     const cpusBeside = machine.freeCpus - gpuJob.cpus;
--- a/src/core/planning/context.ts
+++ b/src/core/planning/context.ts
@@ -54,6 +54,9 @@
 export interface GpuReservation {
   /** The spec of the latest job of each known class that uses GPUs. */
   readonly gpuJobSpecs: readonly JobSpec[];
-  /** GPU machines on which other jobs must leave enough free capacity for a GPU job. */
+  /**
+   * GPU machines on which other jobs must leave enough free capacity for a GPU job, those with the most images of GPU
+   * jobs first.
+   */
   readonly reservedMachines: ReadonlySet<Machine>;
 }
--- a/src/core/planning/planner.ts
+++ b/src/core/planning/planner.ts
@@ -33,9 +33,8 @@
     if (!acceptStart(job)) continue;
     const placedBefore = job.placementCount;
     const waitsForImage = placeJob(job, context, reservedZones);
-    const hasPlacedTasks = job.placementCount > placedBefore;
-    if (hasPlacedTasks) recordStart(job, context);
-    job.recordPlacementStep(!hasPlacedTasks && isWithinQuota(job, context), context.now);
+    if (job.placementCount > placedBefore) recordStart(job, context);
+    job.recordPlacementStep(isWithinQuota(job, context), context.now);
     if (job.pendingCount === 0) continue;
     // A job that fails on every machine, or waits only for its image, triggers no preemption and no scale-out.
     if (!job.isSuspect && !waitsForImage) lackingCapacity.push(job);
