--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -30,6 +30,8 @@
     this.file = join(folder, "record.txt");
     this.lines = [];
     this.events = [];
+    /** Whether each event of a task gets a line; a case with thousands of tasks notes their numbers instead. */
+    this.recordsTasks = true;
     this.startedAt = now();
   }
   note(text) {
@@ -37,6 +39,7 @@
   }
   task(event) {
     this.events.push({ at: now(), ...event });
+    if (!this.recordsTasks) return;
     const { what, stride, mounting, machine, cause } = event;
     this.note(`task ${stride} attempt ${mounting} on ${machine}: ${what}${cause === undefined ? "" : ` (${cause})`}`);
   }
@@ -221,6 +224,14 @@
     return answer;
   }
 
+  /** Asks a node once to cancel a job, and waits 5 s for the answer; null: no response. */
+  async withdraw(i, id) {
+    const answer = await this.clients[i].request("POST", `/api/jobs/${id}/withdraw`, {}, 5000);
+    const text = answer === null ? "no response" : `${answer.status} ${answer.body?.stance ?? answer.body?.error ?? ""}`;
+    this.record.note(`withdraw ${id} at ${this.members[i].member}: ${text}`);
+    return answer;
+  }
+
   /** Ends all processes and servers that the case started. */
   close() {
     this.keepsRunning = false;
@@ -264,6 +275,7 @@
  */
 export async function runCase(folder, options, run) {
   const record = new Record(folder);
+  record.recordsTasks = options.recordsTasks ?? true;
   const cluster = new Cluster(record, options);
   record.note(WITH_TROUBLE ? "with the disruption" : "without the disruption (TROUBLE=0)");
   let code = 2;
--- a/review/lib-2/state.mjs
+++ b/review/lib-2/state.mjs
@@ -41,6 +41,13 @@
     this.isDown = false;
   }
 
+  /** Changes the limits from now on. */
+  setLimits(limits) {
+    this.limits = limits;
+    this.requests = new Bucket(limits.rps);
+    this.writes = new Bucket(limits.write_rps);
+  }
+
   async start(port) {
     this.server = await startServer(port, (...request) => this.handle(...request));
   }
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -53,6 +53,10 @@
     return this.members[this.memberIndex].member;
   }
 
+  get runningCount() {
+    return [...this.tasks.values()].filter(({ stance }) => stance === "running").length;
+  }
+
   report() {
     this.tally++;
     return {
