--- a/review/lib-2/cloud.mjs
+++ b/review/lib-2/cloud.mjs
@@ -1,6 +1,9 @@
 /** A stand-in for the cloud: a catalog, a list of machines with a delay, and returns. It has no further capacity. */
 import { now, startServer } from "./wire.mjs";
 
+/** "When a machine dies, it is listed as `running` for about 30 s more." */
+const DEAD_LISTED_AS_RUNNING_S = 30;
+
 export class Cloud {
   constructor({ breeds, listLagS }) {
     this.breeds = breeds;
@@ -31,7 +34,7 @@
       breed: worker.breed,
       paddock: worker.paddock,
       loaners: false,
-      stance: "running",
+      stance: at - (worker.diedAt ?? at) > DEAD_LISTED_AS_RUNNING_S ? "failed" : "running",
       ageS: at - worker.rentedAt,
     }));
     this.snapshots.push({ at, mounts });
@@ -54,6 +57,13 @@
     return { status: 503, body: { error: "no capacity" } };
   }
 
+  /** A machine stops by itself, with all that is on it. It stays listed until it is returned. */
+  die(name) {
+    const worker = this.workers.get(name);
+    worker.diedAt = now();
+    worker.stop("machine stopped");
+  }
+
   remove(name) {
     const worker = this.workers.get(name);
     if (worker === undefined) return;
