--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -288,6 +288,12 @@
     console.log(text);
     process.exit(exitCode);
   };
+  process.once("exit", () => {
+    for (const child of cluster.processes) child?.kill("SIGKILL");
+  });
+  for (const event of ["uncaughtException", "unhandledRejection"]) {
+    process.once(event, (error) => finish(`the case could not run: ${error?.stack ?? error}`, 2));
+  }
   for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => finish("interrupted", 2));
   try {
     await cluster.open();
